--- /dev/null
+++ b/internal/backend/backend.go
@@ -0,0 +1,183 @@
+// Package backend places the calls of running requests at the back end that all runners share: HTTP/1.1, one call
+// at a time on a connection. Closing the connection gives the call up.
+package backend
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+
+	"shalesail/internal/core"
+	"shalesail/internal/loop"
+)
+
+const (
+	maxConns  = 64
+	keepIdle  = 5_000_000 // the back end closes at 10 s; a call that crosses such a close proves nothing
+	sweepIdle = 1_000_000
+)
+
+// Sink gets the ends of calls.
+type Sink interface {
+	Called(a *core.Attempt, o core.Outcome, reply []byte, took int64)
+}
+
+// Pool owns the connections to the back end.
+type Pool struct {
+	loop  *loop.Loop
+	addr  netip.AddrPort
+	sink  Sink
+	calls map[*core.Attempt]*call
+	idle  []*conn // the one used last is at the end
+	open  int
+}
+
+// call is one call that is out.
+type call struct {
+	attempt *core.Attempt
+	began   int64
+	timer   *loop.Timer
+	conn    *conn
+}
+
+// conn is a connection with at most one call on it.
+type conn struct {
+	pool *Pool
+	lc   *loop.Conn
+	call *call
+	idle int64 // since when
+}
+
+// New makes a pool for the back end at addr.
+func New(l *loop.Loop, addr netip.AddrPort) *Pool {
+	return &Pool{loop: l, addr: addr, calls: map[*core.Attempt]*call{}}
+}
+
+// Start names where the ends of calls go.
+func (p *Pool) Start(sink Sink) {
+	p.sink = sink
+	p.loop.Every(sweepIdle, func() {
+		for len(p.idle) > 0 && p.loop.Now()-p.idle[0].idle > keepIdle {
+			p.idle[0].lc.Close(nil)
+			p.idle = p.idle[1:]
+		}
+	})
+}
+
+// Call implements core.Dependency.
+func (p *Pool) Call(a *core.Attempt, body []byte, patience int64) {
+	p.GiveUp(a)
+	c := &call{attempt: a, began: p.loop.Now()}
+	p.calls[a] = c
+	c.timer = p.loop.After(patience, func() { p.end(c, core.TimedOut, nil) })
+	if n := len(p.idle); n > 0 {
+		c.conn, p.idle = p.idle[n-1], p.idle[:n-1]
+	} else if p.open < maxConns {
+		c.conn = &conn{pool: p}
+		p.open++
+		c.conn.lc = p.loop.Dial(p.addr, loop.Limits{In: maxHead + maxBody, Out: maxBody}, c.conn)
+	} else {
+		p.loop.Post(func() { p.end(c, core.TurnedAway, nil) }) // nothing was sent
+		return
+	}
+	c.conn.call = c
+	c.conn.lc.Write(request(p.addr.String(), a.Request.Name, patience, body))
+}
+
+// request writes a call. The wait is stated in whole milliseconds, not longer than it is.
+func request(host, name string, patience int64, body []byte) []byte {
+	return fmt.Appendf(nil, "POST /rpc/call HTTP/1.1\r\nHost: %s\r\nParent-Call: %s\r\nDeadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
+		host, name, max(patience/1000, 1), len(body), body)
+}
+
+// GiveUp implements core.Dependency.
+func (p *Pool) GiveUp(a *core.Attempt) {
+	if c := p.calls[a]; c != nil {
+		p.forget(c)
+	}
+}
+
+// forget is the one place where a call is given back. A connection on which it still stands is closed.
+func (p *Pool) forget(c *call) {
+	delete(p.calls, c.attempt)
+	c.timer.Stop()
+	if c.conn != nil && c.conn.call == c {
+		c.conn.call = nil
+		c.conn.lc.Close(errors.New("call given up"))
+	}
+}
+
+func (p *Pool) end(c *call, o core.Outcome, reply []byte) {
+	if p.calls[c.attempt] != c {
+		return
+	}
+	p.forget(c)
+	p.sink.Called(c.attempt, o, reply, p.loop.Now()-c.began)
+}
+
+// Connected implements loop.Handler.
+func (n *conn) Connected() {}
+
+// Data implements loop.Handler.
+func (n *conn) Data(b []byte) (int, error) { return n.take(b, false) }
+
+// End implements loop.Handler.
+func (n *conn) End() bool { return false }
+
+// Closed implements loop.Handler.
+func (n *conn) Closed(err error) {
+	p := n.pool
+	p.open--
+	for i, o := range p.idle {
+		if o == n {
+			p.idle = append(p.idle[:i], p.idle[i+1:]...)
+			break
+		}
+	}
+	c := n.call
+	if c == nil {
+		return
+	}
+	n.call = nil
+	// Only a refused connection proves that the call never ran; one that broke may have carried it.
+	var refused *loop.RefusedError
+	if errors.As(err, &refused) {
+		p.end(c, core.Unreachable, nil)
+	} else {
+		p.end(c, core.Broken, nil)
+	}
+}
+
+func (n *conn) take(b []byte, end bool) (int, error) {
+	if n.call == nil {
+		return 0, errors.New("reply to no call")
+	}
+	r, used, err := readReply(b, end)
+	if err != nil || used == 0 {
+		return 0, err
+	}
+	c := n.call
+	n.call = nil
+	if r.keep {
+		n.idle = n.pool.loop.Now()
+		n.pool.idle = append(n.pool.idle, n)
+	} else {
+		n.lc.Close(nil)
+	}
+	n.pool.end(c, outcome(r), r.body)
+	return used, nil
+}
+
+func outcome(r reply) core.Outcome {
+	switch {
+	case r.status == 200:
+		return core.Fine
+	case r.status == 503 && r.turnedAway:
+		return core.TurnedAway
+	case r.status == 409 && r.turnedAway:
+		return core.NotRun
+	case r.status == 504:
+		return core.TimedOut
+	}
+	return core.Fault
+}
--- /dev/null
+++ b/internal/config/platform.go
@@ -0,0 +1,191 @@
+// Package config reads what the runner is told: the platform's JSON and the operator's file. Both are checked at the
+// start, and an error names the file, the field and, where it can, the line.
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"sort"
+	"strconv"
+	"strings"
+
+	"shalesail"
+	"shalesail/internal/core"
+	"shalesail/internal/wire"
+)
+
+// Platform is what the platform tells a runner.
+type Platform struct {
+	Name     string
+	Listen   netip.AddrPort
+	Engine   netip.AddrPort
+	Roster   netip.AddrPort
+	Backend  netip.AddrPort
+	Seed     uint64
+	Stop     int64 // microseconds from the notice to leave to the end
+	Sockets  int
+	MemoryMB int
+	Settings shalesail.Settings
+	Meters   []wire.Gauge
+}
+
+type platformFile struct {
+	Name     string          `json:"name"`
+	Listen   string          `json:"listen"`
+	Engine   string          `json:"engine"`
+	Roster   string          `json:"roster"`
+	Backend  string          `json:"backend"`
+	Seed     string          `json:"seed"`
+	StopMs   float64         `json:"stop_ms"`
+	Limits   limits          `json:"limits"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+type limits struct {
+	MemoryMB float64 `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// ReadPlatform reads and checks the platform's file.
+func ReadPlatform(path string) (*Platform, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	p, err := parsePlatform(text)
+	if err != nil {
+		return nil, fmt.Errorf("config: %s: %w", path, err)
+	}
+	return p, nil
+}
+
+func parsePlatform(text []byte) (*Platform, error) {
+	var f platformFile
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, jsonError(text, err)
+	}
+	p := &Platform{Name: f.Name, Stop: int64(f.StopMs * 1000), Sockets: f.Limits.Sockets, MemoryMB: int(f.Limits.MemoryMB)}
+	if p.Name == "" {
+		return nil, fieldError(text, "name", "missing")
+	}
+	for _, a := range []struct {
+		name, text string
+		to         *netip.AddrPort
+		must       bool
+	}{
+		{"listen", f.Listen, &p.Listen, true},
+		{"engine", f.Engine, &p.Engine, false},
+		{"roster", f.Roster, &p.Roster, false},
+		{"backend", f.Backend, &p.Backend, false},
+	} {
+		if a.text == "" && !a.must {
+			continue
+		}
+		addr, err := netip.ParseAddrPort(a.text)
+		if err != nil {
+			return nil, fieldError(text, a.name, err.Error())
+		}
+		*a.to = addr
+	}
+	if f.Seed != "" {
+		seed, err := strconv.ParseUint(f.Seed, 16, 64)
+		if err != nil {
+			return nil, fieldError(text, "seed", "not a number in hex")
+		}
+		p.Seed = seed
+	}
+	if !(f.StopMs > 0) {
+		return nil, fieldError(text, "stop_ms", "not above 0")
+	}
+	if p.Sockets < 32 || p.MemoryMB < 16 {
+		return nil, fieldError(text, "limits", "sockets under 32 or memory_mb under 16")
+	}
+	var err error
+	if p.Settings, p.Meters, err = parseSettings(f.Settings); err != nil {
+		return nil, fieldError(text, "settings", err.Error())
+	}
+	if err := core.Check(&p.Settings); err != nil {
+		return nil, fieldError(text, "settings", err.Error())
+	}
+	return p, nil
+}
+
+// parseSettings lays the nested object out as the paths of the bench's wire, which are read in one place for both.
+func parseSettings(raw json.RawMessage) (shalesail.Settings, []wire.Gauge, error) {
+	if len(raw) == 0 {
+		return shalesail.Settings{}, nil, fmt.Errorf("missing")
+	}
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.UseNumber()
+	var v any
+	if err := d.Decode(&v); err != nil {
+		return shalesail.Settings{}, nil, err
+	}
+	pairs := map[string]string{}
+	flatten(pairs, "", v)
+	lines := make([]string, 0, len(pairs))
+	for k, v := range pairs {
+		lines = append(lines, k+"="+v)
+	}
+	sort.Strings(lines)
+	return wire.ParseSettings(strings.Join(lines, "\n"))
+}
+
+func flatten(out map[string]string, path string, v any) {
+	join := func(k string) string { return strings.TrimPrefix(path+"."+k, ".") }
+	switch v := v.(type) {
+	case map[string]any:
+		for k, x := range v {
+			flatten(out, join(k), x)
+		}
+	case []any:
+		plain := make([]string, 0, len(v))
+		for i, x := range v {
+			if _, ok := x.(map[string]any); ok {
+				out[join("count")] = strconv.Itoa(len(v))
+				flatten(out, join(strconv.Itoa(i)), x)
+			} else {
+				plain = append(plain, scalar(x))
+			}
+		}
+		if len(plain) > 0 {
+			out[path] = strings.Join(plain, ",")
+		}
+	default:
+		out[path] = scalar(v)
+	}
+}
+
+func scalar(v any) string {
+	if v == nil {
+		return ""
+	}
+	return fmt.Sprint(v)
+}
+
+// jsonError adds the line to an error of the decoder.
+func jsonError(text []byte, err error) error {
+	at := int64(-1)
+	switch e := err.(type) {
+	case *json.SyntaxError:
+		at = e.Offset
+	case *json.UnmarshalTypeError:
+		at = e.Offset
+	}
+	if at < 0 {
+		return err
+	}
+	return fmt.Errorf("line %d: %w", lineOf(text, int(at)), err)
+}
+
+func fieldError(text []byte, field, what string) error {
+	if i := bytes.Index(text, []byte(`"`+field+`"`)); i >= 0 {
+		return fmt.Errorf("line %d: field %s: %s", lineOf(text, i), field, what)
+	}
+	return fmt.Errorf("field %s: %s", field, what)
+}
+
+func lineOf(text []byte, at int) int { return 1 + bytes.Count(text[:min(at, len(text))], []byte("\n")) }
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,505 @@
+// Package core owns every request from the moment it is read to its one final answer: the attempts to run it, the
+// dedupe keys and kept results, due times and the drain. It knows no wire. Fronts hand in requests and get answers;
+// back ends get attempts and calls and report outcomes; the decisions are the module's.
+//
+// All times are microseconds. The core runs on one goroutine.
+package core
+
+import (
+	"fmt"
+	"log"
+	"math"
+
+	"shalesail"
+)
+
+// Kind is how a request was answered.
+type Kind uint8
+
+// The kinds of answer.
+const (
+	Served  Kind = iota + 1 // with the result of a run
+	Refused                 // this try never ran
+	Failed                  // no promise
+	Late                    // failed for want of time
+)
+
+// Field is one named value that goes with a result.
+type Field struct{ Name, Value string }
+
+// Result is what a run made.
+type Result struct {
+	Status int // of the server that made it; 200 for the engine's
+	Fields []Field
+	Body   []byte
+}
+
+// Answer is the one final answer to a request.
+type Answer struct {
+	Kind     Kind
+	Result   *Result // of Served
+	ComeBack int64   // of Refused: how long to stay away
+	Last     bool    // of Refused: the wish that nobody else is tried
+}
+
+// Asker gets the answer to a request, once, unless the request was abandoned before.
+type Asker interface{ Answer(Answer) }
+
+// Request is what a front hands in.
+type Request struct {
+	Name    string // unique among the requests that are open
+	Class   int
+	Tenant  int
+	Caller  uint32
+	Arrived int64 // Unix time at which it reached the machine
+	Due     int64 // how long after that its caller waits; 0: the class's deadline
+	SizeKB  float64
+	Rank    float64
+	Key     string // dedupe key; needed in keyed classes
+	Subject uint64
+	Body    []byte
+	Meta    []Field // what the front read beside the body, for back ends that pass it on
+	Asker   Asker
+}
+
+// Outcome is how an attempt or a call ended.
+type Outcome uint8
+
+// The outcomes. NotRun, TurnedAway and Unreachable prove that nothing ran.
+const (
+	Fine        Outcome = iota + 1
+	Fault               // it failed
+	Broken              // it was cut off and may have had its effect
+	TimedOut            // likewise
+	Stopped             // it ended because its request is over
+	NotRun              // nothing was started
+	TurnedAway          // the call was turned away
+	Unreachable         // nobody took it
+)
+
+// Attempt is one try to run a request on a back end.
+type Attempt struct {
+	Request *Request
+	Class   string
+	Due     int64 // monotonic time at which its answer is worth nothing
+	Safe    bool  // it may be sent again
+	id      uint64
+	over    bool
+}
+
+// Runner is a back end that runs requests. Outcomes are reported with Core.Ended, once an attempt, never from
+// within Run.
+type Runner interface {
+	Run(a *Attempt)
+	// Abandon tells that nobody waits for the attempt. Its end is still reported.
+	Abandon(a *Attempt)
+}
+
+// Dependency places the calls of running requests and reports them with Core.Called, never from within Call.
+type Dependency interface {
+	Call(a *Attempt, body []byte, patience int64)
+	// GiveUp drops a call that is out; nothing is reported of it.
+	GiveUp(a *Attempt)
+}
+
+// Resumer is a Runner whose attempts make calls.
+type Resumer interface {
+	Runner
+	Resume(a *Attempt, reply []byte)
+}
+
+// Gauges are measurements of the machine; NaN stands for one that is not had.
+type Gauges shalesail.Gauges
+
+// NoGauges tells the module to go by its own counts.
+func NoGauges() Gauges {
+	return Gauges{CPU: math.NaN(), Runnable: math.NaN(), Memory: math.NaN(), Connections: math.NaN()}
+}
+
+// Host is what the core needs from the program round it.
+type Host struct {
+	Now    func() int64 // monotonic, above 0
+	Unix   func() int64
+	After  func(d int64, fn func())
+	Gauges func(func(Gauges))            // measures, and then calls back once
+	Health func(stored, good bool)       // how health checks are to be answered
+	Say    func(value float64)           // the free value that goes with every answer from now on
+	Trim   func(idle int64)              // close connections that are idle for so long
+	Route  func(class int) Runner        // where requests of the class run
+	Below  Dependency                    // nil where nothing is called
+	Log    func(format string, v ...any) // nil: the standard logger
+}
+
+// Limits of the table of keys.
+const (
+	maxKeys        = 20_000
+	maxResultBytes = 24 << 20
+)
+
+// request is the core's own record. It is kept until it is answered and nothing of it runs.
+type request struct {
+	*Request
+	id       uint64
+	due      int64 // monotonic
+	answered bool
+	running  *Attempt
+	wants    []byte // body of the call that the run waits for
+	calling  bool
+	entry    *entry // of its key
+	waits    bool   // for the result of another try
+}
+
+// Core is the request table.
+type Core struct {
+	host     Host
+	set      shalesail.Settings
+	gate     gate
+	requests map[uint64]*request
+	lastID   uint64
+	open     int // not yet answered
+	keys     keyTable
+	settling bool
+	drainAt  int64 // monotonic; 0: not draining
+	Stats    Stats
+}
+
+// Stats counts what became of requests since the start.
+type Stats struct{ Read, Served, Refused, Failed, Late, Gone, Started, Repeats int64 }
+
+// New makes the table round a fresh module.
+func New(set shalesail.Settings, seed uint64, host Host) (*Core, error) {
+	module, err := shalesail.New(set, seed)
+	if err != nil {
+		return nil, err
+	}
+	if host.Log == nil {
+		host.Log = log.Printf
+	}
+	c := &Core{host: host, set: set, requests: map[uint64]*request{}, keys: newKeyTable()}
+	c.gate = gate{module: module, now: host.Now}
+	return c, nil
+}
+
+// Start lets the module begin.
+func (c *Core) Start() {
+	c.gate.report(shalesail.Event{})
+	c.settle()
+}
+
+// Class finds a class by its name.
+func (c *Core) Class(name string) (int, bool) {
+	for i := range c.set.Classes {
+		if c.set.Classes[i].Name == name {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// Tenant finds a tenant by its name.
+func (c *Core) Tenant(name string) (int, bool) {
+	for i := range c.set.Tenants {
+		if c.set.Tenants[i].Name == name {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// Keyed tells whether requests of the class carry a key.
+func (c *Core) Keyed(class int) bool { return c.set.Classes[class].Effect == shalesail.Keyed }
+
+// Open is how many requests are owed an answer.
+func (c *Core) Open() int { return c.open }
+
+// Ticket names a request that was handed in.
+type Ticket uint64
+
+// Submit takes over a request that has been read whole. Its answer may come before Submit returns.
+func (c *Core) Submit(q *Request) Ticket {
+	c.lastID++
+	now := c.host.Now()
+	queued := max(c.host.Unix()-q.Arrived, 0)
+	r := &request{Request: q, id: c.lastID}
+	class := &c.set.Classes[q.Class]
+	e := shalesail.Event{Kind: shalesail.EventRequest, Request: r.id, Class: q.Class, Tenant: q.Tenant,
+		Caller: q.Caller, SizeKB: q.SizeKB, Rank: q.Rank, Key: q.Subject, Queued: span(queued),
+		Write: class.Effect != shalesail.Safe}
+	r.due = now - queued + class.Deadline.Microseconds()
+	if q.Due > 0 {
+		r.due = now - queued + q.Due
+		e.Due = span(r.due)
+	}
+	if class.Effect == shalesail.Keyed {
+		if r.entry = c.keys.find(q, c.host.Unix()); r.entry != nil {
+			e.Prior = r.entry.owner
+			c.Stats.Repeats++
+		}
+	}
+	c.requests[r.id] = r
+	c.open++
+	c.Stats.Read++
+	c.gate.report(e)
+	c.settle()
+	return Ticket(r.id)
+}
+
+// Abandon tells that nobody waits for the answer any more. What runs goes on, and a key stays remembered.
+func (c *Core) Abandon(t Ticket) {
+	r := c.requests[uint64(t)]
+	if r == nil || r.answered {
+		return
+	}
+	c.Stats.Gone++
+	c.close(r)
+	c.gate.report(shalesail.Event{Kind: shalesail.EventGone, Request: r.id})
+	c.settle()
+}
+
+// Ended reports the end of an attempt.
+func (c *Core) Ended(a *Attempt, o Outcome, res *Result) {
+	r := c.requests[a.id]
+	if a.over || r == nil || r.running != a {
+		return
+	}
+	a.over, r.running = true, nil
+	c.giveUpCall(r, a)
+	if r.entry != nil && r.entry.owner == r.id {
+		c.settleKey(r, o, res)
+	}
+	done := shalesail.Event{Kind: shalesail.EventDone, Request: r.id}
+	switch o {
+	case Fine:
+		done.Outcome = shalesail.OK
+		c.answer(r, Answer{Kind: Served, Result: res})
+	case Stopped:
+		done.Outcome = shalesail.Cancelled // the module answers what is unanswered
+	case NotRun, Unreachable:
+		done.Outcome = shalesail.Moot
+		c.answer(r, Answer{Kind: Refused})
+	case TimedOut:
+		done.Outcome = shalesail.Failed
+		c.answer(r, Answer{Kind: Late})
+	default:
+		done.Outcome = shalesail.Failed
+		c.answer(r, Answer{Kind: Failed})
+	}
+	c.gate.report(done)
+	c.settle()
+	c.drop(r)
+}
+
+// Needs reports that a run waits for a call with this body.
+func (c *Core) Needs(a *Attempt, body []byte) {
+	r := c.requests[a.id]
+	if a.over || r == nil || r.running != a {
+		return
+	}
+	r.wants = body
+	if r.answered { // the run is over as far as anybody cares; it ends by itself
+		return
+	}
+	c.gate.report(shalesail.Event{Kind: shalesail.EventBlocked, Request: r.id})
+	c.settle()
+}
+
+var callOutcomes = map[Outcome]shalesail.Outcome{Fine: shalesail.OK, Fault: shalesail.Failed, Broken: shalesail.Broken,
+	TimedOut: shalesail.TimedOut, Stopped: shalesail.TimedOut, NotRun: shalesail.Moot, TurnedAway: shalesail.Full,
+	Unreachable: shalesail.Unreachable}
+
+// Called reports the end of a call that took so long.
+func (c *Core) Called(a *Attempt, o Outcome, reply []byte, took int64) {
+	r := c.requests[a.id]
+	if a.over || r == nil || r.running != a || !r.calling {
+		return
+	}
+	r.calling = false
+	if o == Fine {
+		r.wants = nil
+		if runner, ok := c.host.Route(r.Class).(Resumer); ok {
+			runner.Resume(a, reply)
+		}
+	}
+	c.gate.report(shalesail.Event{Kind: shalesail.EventCalled, Request: r.id, Outcome: callOutcomes[o], Elapsed: span(took)})
+	c.settle()
+}
+
+// Drain tells that the process is stopped after so long.
+func (c *Core) Drain(stop int64) {
+	if c.drainAt != 0 {
+		return
+	}
+	c.drainAt = c.host.Now()
+	c.gate.report(shalesail.Event{Kind: shalesail.EventDrain, Due: span(c.drainAt + stop)})
+	c.settle()
+}
+
+// settle carries out decisions until there are none. What it does may report more.
+func (c *Core) settle() {
+	if c.settling {
+		return
+	}
+	c.settling = true
+	defer func() { c.settling = false }()
+	for {
+		d, ok := c.gate.pick()
+		if !ok {
+			return
+		}
+		c.carryOut(d)
+	}
+}
+
+func (c *Core) carryOut(d decision) {
+	switch d.verb {
+	case doHealth:
+		c.host.Health(d.stored, d.good)
+		return
+	case doAdvertise:
+		c.host.Say(d.value)
+		return
+	case doTrim:
+		c.host.Trim(d.span)
+		return
+	case doTick:
+		c.host.After(d.span, c.tick)
+		return
+	case doLog:
+		c.host.Log("%s", d.text)
+		return
+	}
+	r := c.requests[d.id]
+	if r == nil {
+		return
+	}
+	switch d.verb {
+	case doStart:
+		c.start(r)
+	case doRefuse:
+		c.answer(r, Answer{Kind: Refused, ComeBack: d.span, Last: d.last})
+	case doFail:
+		c.fail(r)
+	case doCall:
+		c.call(r, d.span)
+	case doOmit: // the settings that allow it are refused at the start
+		c.host.Log("core: the module leaves out a call, which no back end here can do")
+	case doKeep:
+		c.keys.keep(r, c.host.Unix()+d.span)
+	case doForget:
+		c.forget(r)
+	case doReuse:
+		c.reuse(r)
+	}
+	c.drop(r)
+}
+
+// tick measures the machine and lets the module look round.
+func (c *Core) tick() {
+	c.host.Gauges(func(v Gauges) {
+		c.keys.expire(c.host.Unix())
+		c.gate.tick(v)
+		c.settle()
+	})
+}
+
+// start begins an attempt. It is the one place where something is run, and so the last guard of two rules.
+func (c *Core) start(r *request) {
+	class := &c.set.Classes[r.Class]
+	grace := c.set.DrainGrace.Microseconds()
+	late := c.drainAt != 0 && c.host.Now()-max(c.host.Unix()-r.Arrived, 0) > c.drainAt+grace
+	if r.answered || r.running != nil || late || class.Effect == shalesail.Keyed && !c.keys.mayRun(r) {
+		c.host.Log("core: %s %s was not run: it may not run any more", class.Name, r.Name)
+		c.answer(r, Answer{Kind: Failed})
+		c.gate.report(shalesail.Event{Kind: shalesail.EventDone, Request: r.id, Outcome: shalesail.Failed})
+		return
+	}
+	if r.entry != nil {
+		r.entry.run(r.Arrived, class.Window.Microseconds())
+	}
+	r.running = &Attempt{Request: r.Request, Class: class.Name, Due: r.due, Safe: class.Effect == shalesail.Safe, id: r.id}
+	c.Stats.Started++
+	c.host.Route(r.Class).Run(r.running)
+}
+
+// lateBy is how close to its due time a failure counts as want of time.
+const lateBy = 40_000
+
+func (c *Core) fail(r *request) {
+	kind := Failed
+	if c.host.Now() >= r.due-lateBy {
+		kind = Late
+	}
+	c.answer(r, Answer{Kind: kind})
+}
+
+func (c *Core) call(r *request, patience int64) {
+	if r.running == nil || r.wants == nil || c.host.Below == nil {
+		c.gate.report(shalesail.Event{Kind: shalesail.EventCalled, Request: r.id, Outcome: shalesail.Unreachable})
+		return
+	}
+	if patience <= 0 {
+		patience = c.set.Classes[r.Class].Deadline.Microseconds()
+	}
+	r.calling = true
+	c.host.Below.Call(r.running, r.wants, patience)
+}
+
+func (c *Core) giveUpCall(r *request, a *Attempt) {
+	if r.calling {
+		r.calling = false
+		c.host.Below.GiveUp(a)
+	}
+}
+
+// answer gives the final answer, if none was given.
+func (c *Core) answer(r *request, a Answer) {
+	if r.answered {
+		return
+	}
+	switch a.Kind {
+	case Served:
+		c.Stats.Served++
+	case Refused:
+		c.Stats.Refused++
+	case Late:
+		c.Stats.Late++
+	default:
+		c.Stats.Failed++
+	}
+	c.close(r)
+	r.Asker.Answer(a)
+}
+
+// close ends what is owed: the request is answered or nobody waits for it.
+func (c *Core) close(r *request) {
+	r.answered = true
+	c.open--
+	if r.waits {
+		r.waits = false
+		r.entry.leave(r)
+	}
+	if a := r.running; a != nil {
+		c.giveUpCall(r, a)
+		c.host.Route(r.Class).Abandon(a)
+	}
+}
+
+// drop forgets a request that is answered and of which nothing runs.
+func (c *Core) drop(r *request) {
+	if r.answered && r.running == nil {
+		delete(c.requests, r.id)
+	}
+}
+
+// Check reports a setting that this program cannot honour.
+func Check(set *shalesail.Settings) error {
+	for _, class := range set.Classes {
+		if class.OmitWorth > 0 {
+			return fmt.Errorf("class %s: calls cannot be left out here", class.Name)
+		}
+	}
+	if set.Halt != shalesail.HaltNone {
+		return fmt.Errorf("running work cannot be stopped here")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/core/keys.go
@@ -0,0 +1,186 @@
+package core
+
+import "shalesail"
+
+// keyName tells the tries of one request from those of others, whichever front they came through.
+type keyName struct {
+	class, tenant int
+	key           string
+}
+
+// entry is what is remembered of a key.
+type entry struct {
+	name    keyName
+	owner   uint64 // the try that is kept, and that runs if any does
+	until   int64  // Unix time up to which a repeat may arrive
+	ran     bool
+	ended   bool
+	failed  Kind    // of an end without a result
+	result  *Result // of an end with one
+	waiters []*request
+}
+
+// keyTable remembers keyed requests for both fronts.
+type keyTable struct {
+	byName map[keyName]*entry
+	bytes  int
+	swept  int64
+}
+
+func newKeyTable() keyTable { return keyTable{byName: map[keyName]*entry{}} }
+
+// lateRead is how long after its arrival a repeat may be read; it still meets the entry that stood when it came.
+const lateRead = 10_000_000
+
+// sweepEvery bounds the work of looking through the table.
+const sweepEvery = 500_000
+
+func nameOf(q *Request) keyName { return keyName{q.Class, q.Tenant, q.Key} }
+
+// find is the entry that a request repeats, if it came while that stood.
+func (t *keyTable) find(q *Request, now int64) *entry {
+	e := t.byName[nameOf(q)]
+	if e != nil && (q.Arrived <= e.until || e.ran && !e.ended) {
+		return e
+	}
+	return nil
+}
+
+// keep remembers a request's key up to a Unix time, in place of an older try whose time is over.
+func (t *keyTable) keep(r *request, until int64) {
+	e := t.byName[nameOf(r.Request)]
+	if e == nil || e.owner != r.id {
+		t.remove(e)
+		e = &entry{name: nameOf(r.Request), owner: r.id}
+		t.byName[e.name] = e
+	}
+	e.until = max(e.until, until)
+	r.entry = e
+}
+
+// mayRun tells whether r is the try that its key stands for, and the first of them to run.
+func (t *keyTable) mayRun(r *request) bool {
+	e := r.entry
+	return e != nil && t.byName[e.name] == e && e.owner == r.id && !e.ran
+}
+
+// full tells whether the table has no room for another key. What ran is never dropped for room.
+func (t *keyTable) full() bool { return len(t.byName) >= maxKeys || t.bytes >= maxResultBytes }
+
+// run opens the window: it counts from the arrival of the try that runs.
+func (e *entry) run(arrived, window int64) {
+	e.ran = true
+	e.until = max(e.until, arrived+window)
+}
+
+func (e *entry) leave(r *request) {
+	for i, w := range e.waiters {
+		if w == r {
+			e.waiters = append(e.waiters[:i], e.waiters[i+1:]...)
+			return
+		}
+	}
+}
+
+// remove takes an entry out of the table and gives its memory back.
+func (t *keyTable) remove(e *entry) {
+	if e != nil && t.byName[e.name] == e {
+		delete(t.byName, e.name)
+		if e.result != nil {
+			t.bytes -= e.result.size()
+		}
+	}
+}
+
+func (r *Result) size() int {
+	n := len(r.Body)
+	for _, f := range r.Fields {
+		n += len(f.Name) + len(f.Value)
+	}
+	return n
+}
+
+// expire drops the entries that no repeat can meet any more.
+func (t *keyTable) expire(now int64) {
+	if now < t.swept+sweepEvery {
+		return
+	}
+	t.swept = now
+	for _, e := range t.byName {
+		if now > e.until+lateRead && (e.ended || !e.ran) && len(e.waiters) == 0 {
+			t.remove(e)
+		}
+	}
+}
+
+// settleKey notes how the run of a key ended and answers the repeats that wait for it.
+func (c *Core) settleKey(r *request, o Outcome, res *Result) {
+	e := r.entry
+	if o == NotRun || o == Unreachable { // proof that nothing ran: another try may
+		c.forgetEntry(e)
+		return
+	}
+	e.ended, e.failed = true, Failed
+	if o == TimedOut {
+		e.failed = Late
+	}
+	if o == Fine && res != nil {
+		e.result = res
+		c.keys.bytes += res.size()
+	}
+	waiters := e.waiters
+	e.waiters = nil
+	for _, w := range waiters {
+		c.finishReuse(w, e)
+	}
+}
+
+// forget drops the key of a request that did not run.
+func (c *Core) forget(r *request) {
+	if r.entry != nil && r.entry.owner == r.id && !r.entry.ran {
+		c.forgetEntry(r.entry)
+	}
+}
+
+// forgetEntry drops a key whose try never ran. Nor did those that wait for it, and they may be tried again.
+func (c *Core) forgetEntry(e *entry) {
+	c.keys.remove(e)
+	waiters := e.waiters
+	e.waiters = nil
+	for _, w := range waiters {
+		w.waits = false
+		c.answer(w, Answer{Kind: Refused})
+		c.reuseOver(w, shalesail.Failed)
+	}
+}
+
+// reuse answers a repeat with the result of the try that ran, now or when there is one.
+func (c *Core) reuse(r *request) {
+	switch e := r.entry; {
+	case e == nil || c.keys.byName[e.name] != e && !e.ended:
+		c.answer(r, Answer{Kind: Refused}) // what it repeats was dropped without having run
+		c.reuseOver(r, shalesail.Failed)
+	case e.ended:
+		c.finishReuse(r, e)
+	default:
+		r.waits = true
+		e.waiters = append(e.waiters, r)
+	}
+}
+
+// finishReuse answers a repeat from an entry that has ended.
+func (c *Core) finishReuse(r *request, e *entry) {
+	r.waits = false
+	if e.result != nil {
+		c.answer(r, Answer{Kind: Served, Result: e.result})
+		c.reuseOver(r, shalesail.OK)
+		return
+	}
+	c.answer(r, Answer{Kind: e.failed})
+	c.reuseOver(r, shalesail.Failed)
+}
+
+func (c *Core) reuseOver(r *request, o shalesail.Outcome) {
+	c.gate.report(shalesail.Event{Kind: shalesail.EventDone, Request: r.id, Outcome: o})
+	c.drop(r)
+}
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,339 @@
+// Package engine is the link to the platform's engine, which does the work. The link may break and be replaced at
+// any time: notices are counted, and commands are kept until the engine is known to have read them.
+package engine
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log"
+	"net/netip"
+	"strconv"
+
+	"shalesail/internal/core"
+	"shalesail/internal/loop"
+)
+
+const (
+	maxLine      = 64 << 10
+	maxOut       = 4 << 20
+	redialAfter  = 50_000
+	deadAfter    = 3_000_000 // a live link that leaves a question open for so long is replaced
+	gaugesWithin = 10_000    // the module's look round does not wait longer for its gauges
+	checkWithin  = 5_000_000
+)
+
+// Sink gets what the engine reports.
+type Sink interface {
+	Ended(*core.Attempt, core.Outcome, *core.Result)
+	Needs(*core.Attempt, []byte)
+}
+
+type message struct {
+	T      string    `json:"t"`
+	No     int64     `json:"no"`
+	Rid    string    `json:"rid"`
+	Status string    `json:"status"`
+	Mark   string    `json:"mark"`
+	V      []float64 `json:"v"`
+	B64    []byte    `json:"b64"`
+}
+
+type attach struct {
+	T  string `json:"t"`
+	No int64  `json:"no"`
+}
+
+type command struct {
+	T     string `json:"t"`
+	Rid   string `json:"rid"`
+	Route string `json:"route,omitempty"`
+	B64   []byte `json:"b64"`
+}
+
+type question struct {
+	T    string `json:"t"`
+	Mark string `json:"mark"`
+}
+
+// sent is a command that the engine may not have read.
+type sent struct {
+	seq   int64
+	rid   string
+	needs int // of the run when the command was given
+	line  []byte
+}
+
+// run is an attempt that the engine was told of.
+type run struct {
+	attempt *core.Attempt
+	needs   int
+}
+
+type phase uint8
+
+const (
+	down    phase = iota
+	hello         // ATTACH is out
+	catchUp       // HELLO came; a question is out, and its answer follows all notices that were kept
+	live
+)
+
+// Link owns the connection to the engine.
+type Link struct {
+	loop   *loop.Loop
+	addr   netip.AddrPort
+	sink   Sink
+	meters func([]float64) core.Gauges
+
+	conn    *loop.Conn
+	phase   phase
+	seen    int64 // number of the last notice
+	seq     int64
+	pending []sent
+	runs    map[string]*run
+	asked   int64 // time of the oldest question that is open; 0: none
+	marks   int64
+	gauges  core.Gauges
+	waiting func() // the module's look round that waits for gauges
+	late    *loop.Timer
+	checks  map[string]func(bool)
+}
+
+// New makes a link; Start opens it. Meters puts the engine's gauges in their places.
+func New(l *loop.Loop, addr netip.AddrPort, meters func([]float64) core.Gauges) *Link {
+	return &Link{loop: l, addr: addr, meters: meters, runs: map[string]*run{}, gauges: core.NoGauges(),
+		checks: map[string]func(bool){}}
+}
+
+// Start connects, and keeps the link up from then on.
+func (k *Link) Start(sink Sink) {
+	k.sink = sink
+	k.dial()
+	k.loop.Every(deadAfter/6, func() {
+		if k.phase >= catchUp && k.asked != 0 && k.loop.Now()-k.asked > deadAfter {
+			k.conn.Close(errors.New("no answer on the link"))
+		}
+	})
+}
+
+func (k *Link) dial() {
+	k.conn = k.loop.Dial(k.addr, loop.Limits{In: maxLine, Out: maxOut}, k)
+}
+
+// Connected implements loop.Handler.
+func (k *Link) Connected() {
+	k.phase = hello
+	k.write(attach{"ATTACH", k.seen})
+}
+
+// End implements loop.Handler.
+func (k *Link) End() bool { return false }
+
+// Closed implements loop.Handler.
+func (k *Link) Closed(err error) {
+	if k.phase != down {
+		log.Printf("engine: link lost: %v", err)
+	}
+	k.phase, k.asked = down, 0
+	k.look()
+	k.loop.After(redialAfter, k.dial)
+}
+
+// Data implements loop.Handler.
+func (k *Link) Data(b []byte) (used int, err error) {
+	for {
+		i := bytes.IndexByte(b[used:], '\n')
+		if i < 0 || k.conn.IsClosed() {
+			return used, nil
+		}
+		line := b[used : used+i]
+		used += i + 1
+		var m message
+		if err := json.Unmarshal(line, &m); err != nil {
+			return used, fmt.Errorf("notice: %w", err)
+		}
+		k.message(&m)
+	}
+}
+
+func (k *Link) write(v any) {
+	line, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // of types of this package, which all can be written
+	}
+	k.conn.Write(append(line, '\n'))
+}
+
+func (k *Link) ask() {
+	if k.asked == 0 {
+		k.asked = k.loop.Now()
+	}
+	k.write(question{"STAT", strconv.FormatInt(k.seq, 10)})
+}
+
+func (k *Link) message(m *message) {
+	if m.No != 0 { // a notice, which counts once however often it comes
+		if m.No <= k.seen {
+			return
+		}
+		if m.No != k.seen+1 {
+			log.Printf("engine: notices %d to %d are missing", k.seen+1, m.No-1)
+		}
+		k.seen = m.No
+	}
+	switch m.T {
+	case "HELLO":
+		log.Printf("engine: link up (%s), last notice %d, %d commands to settle", m.Status, k.seen, len(k.pending))
+		k.phase = catchUp
+		k.ask()
+	case "DONE":
+		k.done(m)
+	case "NEED":
+		if r := k.runs[m.Rid]; r != nil {
+			r.needs++
+			k.sink.Needs(r.attempt, nonNil(m.B64))
+		}
+	case "STATS":
+		k.stats(m)
+	case "TESTED":
+		if fn := k.checks[m.Mark]; fn != nil {
+			delete(k.checks, m.Mark)
+			fn(m.Status == "fine")
+		}
+	case "NO":
+		log.Printf("engine: %s of %s was not carried out", m.Status, m.Rid)
+		if r := k.runs[m.Rid]; r != nil && m.Status == "RUN" {
+			delete(k.runs, m.Rid)
+			k.sink.Ended(r.attempt, core.Fault, nil)
+		}
+	}
+}
+
+var ends = map[string]core.Outcome{"fine": core.Fine, "fault": core.Fault, "broken_off": core.Stopped, "late": core.NotRun}
+
+func (k *Link) done(m *message) {
+	r := k.runs[m.Rid]
+	if r == nil {
+		return
+	}
+	delete(k.runs, m.Rid)
+	o, ok := ends[m.Status]
+	if !ok {
+		o = core.Fault
+	}
+	var res *core.Result
+	if o == core.Fine {
+		res = &core.Result{Status: 200, Body: m.B64}
+	}
+	k.sink.Ended(r.attempt, o, res)
+}
+
+// stats takes the gauges, and with them the proof that the engine has read the commands before the question.
+func (k *Link) stats(m *message) {
+	k.asked = 0
+	k.gauges = k.meters(m.V)
+	if seq, err := strconv.ParseInt(m.Mark, 10, 64); err == nil {
+		for len(k.pending) > 0 && k.pending[0].seq <= seq && k.phase == live {
+			k.pending = k.pending[1:]
+		}
+	}
+	if k.phase == catchUp {
+		k.phase = live
+		k.repeat()
+	}
+	k.look()
+}
+
+// repeat sends again what the last link may have swallowed. All notices up to now have been read, so a run that has
+// reported anything since a command was given has read that command.
+func (k *Link) repeat() {
+	kept := k.pending[:0]
+	for _, s := range k.pending {
+		if r := k.runs[s.rid]; r != nil && r.needs == s.needs {
+			kept = append(kept, s)
+			k.conn.Write(s.line)
+		}
+	}
+	k.pending = kept
+}
+
+func (k *Link) command(c command, needs int) {
+	line, err := json.Marshal(c)
+	if err != nil {
+		panic(err) // see write
+	}
+	line = append(line, '\n')
+	k.seq++
+	k.pending = append(k.pending, sent{k.seq, c.Rid, needs, line})
+	if k.phase == live {
+		k.conn.Write(line)
+	}
+}
+
+// Run implements core.Runner.
+func (k *Link) Run(a *core.Attempt) {
+	if k.runs[a.Request.Name] != nil { // the engine would take it for the one that runs
+		k.loop.Post(func() { k.sink.Ended(a, core.Fault, nil) })
+		return
+	}
+	k.runs[a.Request.Name] = &run{attempt: a}
+	k.command(command{"RUN", a.Request.Name, a.Class, nonNil(a.Request.Body)}, 0)
+}
+
+// Abandon implements core.Runner. Running work can't be stopped; the engine itself ends it at its next call.
+func (k *Link) Abandon(*core.Attempt) {}
+
+// Resume implements core.Resumer.
+func (k *Link) Resume(a *core.Attempt, reply []byte) {
+	if r := k.runs[a.Request.Name]; r != nil {
+		k.command(command{T: "FEED", Rid: a.Request.Name, B64: nonNil(reply)}, r.needs)
+	}
+}
+
+// Gauges measures the machine for the module. Without a link, or late, it gives what there is.
+func (k *Link) Gauges(fn func(core.Gauges)) {
+	if k.phase != live {
+		fn(core.NoGauges())
+		return
+	}
+	k.waiting = func() { fn(k.gauges) }
+	k.ask()
+	k.late = k.loop.After(gaugesWithin, k.look)
+}
+
+// look lets the module have its look round, if it waits for one.
+func (k *Link) look() {
+	if fn := k.waiting; fn != nil {
+		k.waiting = nil
+		k.late.Stop()
+		fn()
+	}
+}
+
+// Check does the work of a deep health check.
+func (k *Link) Check(fn func(bool)) {
+	if k.phase != live {
+		fn(false)
+		return
+	}
+	k.marks++
+	mark := "check" + strconv.FormatInt(k.marks, 10)
+	k.checks[mark] = fn
+	k.write(question{"TEST", mark})
+	k.loop.After(checkWithin, func() {
+		if fn := k.checks[mark]; fn != nil {
+			delete(k.checks, mark)
+			fn(false)
+		}
+	})
+}
+
+// nonNil keeps an empty body from being written as null.
+func nonNil(b []byte) []byte {
+	if b == nil {
+		return []byte{}
+	}
+	return b
+}
--- /dev/null
+++ b/internal/loop/conn.go
@@ -0,0 +1,293 @@
+package loop
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+
+	"golang.org/x/sys/unix"
+)
+
+// The ends of a connection that are not errors of the system.
+var (
+	ErrPeerSlow = errors.New("peer does not read")
+	ErrFlood    = errors.New("peer sends more than fits the buffer")
+)
+
+// RefusedError tells that a connection was refused, which proves that nothing was sent on it.
+type RefusedError struct{ Err error }
+
+func (e *RefusedError) Error() string { return "connect refused: " + e.Err.Error() }
+
+// Unwrap returns the system's error.
+func (e *RefusedError) Unwrap() error { return e.Err }
+
+// Handler is told what happens on a connection.
+type Handler interface {
+	// Connected is called once on a dialled connection that stands.
+	Connected()
+	// Data gets all that is unread so far and returns how much of it is used up.
+	// An error closes the connection.
+	Data(b []byte) (int, error)
+	// End is called once when the peer has closed its side. Returning true keeps the own side open.
+	End() bool
+	// Closed is called once, last, when the descriptor has been given back.
+	Closed(err error)
+}
+
+// Limits bound the buffers of a connection in bytes.
+type Limits struct{ In, Out int }
+
+// Conn is one stream connection. It owns its descriptor and gives it back in Close.
+type Conn struct {
+	loop    *Loop
+	fd      int
+	h       Handler
+	limits  Limits
+	in, out []byte
+	// Opening: the connect is under way. Ended: the peer sends no more. Leaving: the own side is shut, what comes is
+	// thrown away until the peer closes.
+	opening, ended, leaving, closed, dirty bool
+	events                                 uint32
+	onFree                                 func()
+}
+
+func newConn(l *Loop, fd int, limits Limits, opening bool) (*Conn, error) {
+	c := &Conn{loop: l, fd: fd, limits: limits, opening: opening, events: unix.EPOLLIN}
+	if opening {
+		c.events = unix.EPOLLOUT
+	}
+	if err := l.watch(fd, c.events, c); err != nil {
+		_ = unix.Close(fd)
+		return nil, err
+	}
+	l.open++
+	return c, nil
+}
+
+// Dial begins a connection to addr. The outcome reaches the handler, never before Dial returns.
+func (l *Loop) Dial(addr netip.AddrPort, limits Limits, h Handler) *Conn {
+	fd, err := unix.Socket(family(addr), unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return l.stillborn(h, fmt.Errorf("loop: socket: %w", err))
+	}
+	_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+	if err := unix.Connect(fd, sockaddr(addr)); err != nil && err != unix.EINPROGRESS {
+		_ = unix.Close(fd)
+		return l.stillborn(h, connectError(err))
+	}
+	c, err := newConn(l, fd, limits, true)
+	if err != nil {
+		return l.stillborn(h, err)
+	}
+	c.h = h
+	return c
+}
+
+// stillborn is a connection that never had a descriptor; its handler learns of it like of any other.
+func (l *Loop) stillborn(h Handler, err error) *Conn {
+	l.Post(func() { h.Closed(err) })
+	return &Conn{loop: l, fd: -1, h: h, closed: true}
+}
+
+// connectError marks the one error that proves that nobody took the connection.
+func connectError(err error) error {
+	if err == unix.ECONNREFUSED {
+		return &RefusedError{err}
+	}
+	return fmt.Errorf("connect: %w", err)
+}
+
+func (c *Conn) ready(events uint32) {
+	if c.opening {
+		c.finishConnect()
+		return
+	}
+	if events&unix.EPOLLERR != 0 {
+		errno, _ := unix.GetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_ERROR)
+		c.Close(fmt.Errorf("connection broke: %w", unix.Errno(errno)))
+		return
+	}
+	if events&(unix.EPOLLIN|unix.EPOLLHUP) != 0 && !c.ended {
+		c.read()
+	} else if events&unix.EPOLLHUP != 0 {
+		c.Close(io.EOF) // both sides are down
+	}
+	if events&unix.EPOLLOUT != 0 && !c.closed {
+		c.flush()
+	}
+}
+
+func (c *Conn) finishConnect() {
+	errno, err := unix.GetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_ERROR)
+	if err == nil && errno != 0 {
+		err = unix.Errno(errno)
+	}
+	if err != nil {
+		c.Close(connectError(err))
+		return
+	}
+	c.opening = false
+	c.rearm()
+	c.h.Connected()
+}
+
+func (c *Conn) read() {
+	n, err := unix.Read(c.fd, c.loop.scratch)
+	switch {
+	case err == unix.EAGAIN || err == unix.EINTR:
+		return
+	case err != nil:
+		c.Close(fmt.Errorf("read: %w", err))
+		return
+	case n == 0:
+		c.ended = true
+		if c.leaving || !c.h.End() {
+			c.Close(io.EOF)
+			return
+		}
+		c.rearm()
+		return
+	case c.leaving:
+		return
+	}
+	data := c.loop.scratch[:n]
+	if len(c.in) > 0 {
+		c.in = append(c.in, data...)
+		data = c.in
+	}
+	used, err := c.h.Data(data)
+	if c.closed {
+		return
+	}
+	if err != nil {
+		c.Close(err)
+		return
+	}
+	// What is left over is kept in a buffer of the connection's own; one that is idle keeps none.
+	if c.in = append(c.in[:0], data[used:]...); len(c.in) == 0 {
+		c.in = nil
+	}
+	if len(c.in) > c.limits.In {
+		c.Close(ErrFlood)
+	}
+}
+
+// Write queues b; it goes out at the end of the turn.
+func (c *Conn) Write(b []byte) {
+	if c.closed || c.leaving {
+		return
+	}
+	if len(c.out)+len(b) > c.limits.Out {
+		c.Close(ErrPeerSlow)
+		return
+	}
+	c.out = append(c.out, b...)
+	c.touch()
+}
+
+// touch has the connection flushed at the end of the turn.
+func (c *Conn) touch() {
+	if !c.dirty && !c.opening {
+		c.dirty = true
+		c.loop.dirty = append(c.loop.dirty, c)
+	}
+}
+
+// Queued is how many bytes wait to be written.
+func (c *Conn) Queued() int { return len(c.out) }
+
+// IsClosed tells whether the descriptor has been given back.
+func (c *Conn) IsClosed() bool { return c.closed }
+
+func (c *Conn) flush() {
+	for len(c.out) > 0 && !c.closed && !c.opening {
+		n, err := unix.SendmsgN(c.fd, c.out, nil, nil, unix.MSG_NOSIGNAL)
+		switch {
+		case err == unix.EAGAIN:
+			c.rearm()
+			return
+		case err == unix.EINTR:
+		case err != nil:
+			c.Close(fmt.Errorf("write: %w", err))
+			return
+		default:
+			c.out = c.out[:copy(c.out, c.out[n:])]
+		}
+	}
+	if c.closed {
+		return
+	}
+	c.out = nil
+	if c.leaving {
+		_ = unix.Shutdown(c.fd, unix.SHUT_WR)
+	}
+	c.rearm()
+}
+
+func (c *Conn) rearm() {
+	if c.closed {
+		return
+	}
+	var events uint32
+	if !c.ended {
+		events |= unix.EPOLLIN
+	}
+	if len(c.out) > 0 {
+		events |= unix.EPOLLOUT
+	}
+	if events != c.events {
+		c.events = events
+		c.loop.rewatch(c.fd, events)
+	}
+}
+
+// lingerFor is how long a connection that was left waits for its peer to close.
+const lingerFor = 500_000
+
+// Leave sends what is queued, shuts the own side and closes when the peer does, or after a while. Closing at once
+// would reset the connection where the peer has just written, and take answers with it that it has not read.
+func (c *Conn) Leave() {
+	if c.closed || c.leaving {
+		return
+	}
+	if c.opening || c.ended && len(c.out) == 0 {
+		c.Close(nil)
+		return
+	}
+	c.leaving, c.in = true, nil
+	c.touch()
+	c.loop.After(lingerFor, func() { c.Close(nil) })
+}
+
+// Close gives the descriptor back, at once. The handler hears of it later in the turn.
+func (c *Conn) Close(err error) {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	c.loop.release(c.fd)
+	c.loop.open--
+	c.in, c.out = nil, nil
+	c.loop.Post(func() {
+		c.h.Closed(err)
+		if c.onFree != nil {
+			c.onFree()
+		}
+	})
+}
+
+func family(a netip.AddrPort) int {
+	if a.Addr().Is4() {
+		return unix.AF_INET
+	}
+	return unix.AF_INET6
+}
+
+func sockaddr(a netip.AddrPort) unix.Sockaddr {
+	if a.Addr().Is4() {
+		return &unix.SockaddrInet4{Port: int(a.Port()), Addr: a.Addr().As4()}
+	}
+	return &unix.SockaddrInet6{Port: int(a.Port()), Addr: a.Addr().As16()}
+}
--- /dev/null
+++ b/internal/loop/listen.go
@@ -0,0 +1,153 @@
+package loop
+
+import (
+	"fmt"
+	"net/netip"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	acceptsATurn = 64
+	acceptRest   = 50_000 // after the system ran out of something that an accept needs
+)
+
+// Listener accepts connections, up to a number that may be open at once.
+type Listener struct {
+	loop   *Loop
+	fd     int
+	most   int
+	open   int
+	limits Limits
+	accept func(*Conn) Handler
+	paused bool
+	full   func()
+}
+
+// Listen accepts connections on addr. Accept names the handler of each. At most `most` are open at once; the others
+// wait in the system's queue, and full is called so that an idle connection can make room.
+func (l *Loop) Listen(addr netip.AddrPort, most int, limits Limits, accept func(*Conn) Handler, full func()) (*Listener, error) {
+	fd, err := unix.Socket(family(addr), unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, fmt.Errorf("listen %v: %w", addr, err)
+	}
+	ln := &Listener{loop: l, fd: fd, most: most, limits: limits, accept: accept, full: full}
+	_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+	if err = unix.Bind(fd, sockaddr(addr)); err == nil {
+		err = unix.Listen(fd, 1024)
+	}
+	if err == nil {
+		err = l.watch(fd, unix.EPOLLIN, ln)
+	}
+	if err != nil {
+		_ = unix.Close(fd)
+		return nil, fmt.Errorf("listen %v: %w", addr, err)
+	}
+	return ln, nil
+}
+
+// Addr is the address it listens on.
+func (ln *Listener) Addr() netip.AddrPort {
+	sa, _ := unix.Getsockname(ln.fd)
+	switch sa := sa.(type) {
+	case *unix.SockaddrInet4:
+		return netip.AddrPortFrom(netip.AddrFrom4(sa.Addr), uint16(sa.Port))
+	case *unix.SockaddrInet6:
+		return netip.AddrPortFrom(netip.AddrFrom16(sa.Addr), uint16(sa.Port))
+	}
+	return netip.AddrPort{}
+}
+
+func (ln *Listener) ready(uint32) {
+	for range acceptsATurn {
+		if ln.fd < 0 {
+			return
+		}
+		if ln.open >= ln.most {
+			ln.pause()
+			if ln.full != nil {
+				ln.full()
+			}
+			return
+		}
+		fd, _, err := unix.Accept4(ln.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		switch err {
+		case nil:
+			ln.take(fd)
+		case unix.EAGAIN:
+			return
+		case unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM:
+			// The queue stays readable: without a rest the loop would spin on an accept that cannot succeed.
+			ln.pause()
+			if ln.full != nil {
+				ln.full()
+			}
+			ln.loop.After(acceptRest, ln.resume)
+			return
+		default: // a connection that broke in the queue
+		}
+	}
+}
+
+func (ln *Listener) take(fd int) {
+	_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+	c, err := newConn(ln.loop, fd, ln.limits, false)
+	if err != nil {
+		return
+	}
+	ln.open++
+	c.onFree = func() {
+		ln.open--
+		ln.resume()
+	}
+	c.h = ln.accept(c)
+}
+
+func (ln *Listener) pause() {
+	if !ln.paused {
+		ln.paused = true
+		ln.loop.rewatch(ln.fd, 0)
+	}
+}
+
+func (ln *Listener) resume() {
+	if ln.paused && ln.fd >= 0 && ln.open < ln.most {
+		ln.paused = false
+		ln.loop.rewatch(ln.fd, unix.EPOLLIN)
+	}
+}
+
+// Close takes in what waits in the queue, since that was accepted in the peer's eyes, and stops listening.
+func (ln *Listener) Close() {
+	if ln.fd < 0 {
+		return
+	}
+	ln.ready(0)
+	ln.loop.release(ln.fd)
+	ln.fd = -1
+}
+
+// Datagram is a socket that sends to one address and hears nothing.
+type Datagram struct{ fd int }
+
+// Datagram makes a socket for datagrams to addr.
+func (l *Loop) Datagram(addr netip.AddrPort) (*Datagram, error) {
+	fd, err := unix.Socket(family(addr), unix.SOCK_DGRAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, fmt.Errorf("datagram: %w", err)
+	}
+	if err := unix.Connect(fd, sockaddr(addr)); err != nil {
+		_ = unix.Close(fd)
+		return nil, fmt.Errorf("datagram to %v: %w", addr, err)
+	}
+	return &Datagram{fd}, nil
+}
+
+// Send sends one datagram. An error is the network's answer to an earlier one as often as not.
+func (d *Datagram) Send(b []byte) error {
+	_, err := unix.Write(d.fd, b)
+	return err
+}
+
+// Close gives the socket back.
+func (d *Datagram) Close() { _ = unix.Close(d.fd) }
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,45 @@
+// Package roster reports to the platform's roster that this runner is there.
+package roster
+
+import (
+	"net/netip"
+
+	"shalesail/internal/loop"
+)
+
+// every is how often a report goes out. An entry lapses 3 s after the last one; a few may be lost.
+const every = 500_000
+
+// Reporter owns the socket of the reports.
+type Reporter struct {
+	socket *loop.Datagram
+	name   string
+	state  string
+}
+
+// Start reports at once and from then on.
+func Start(l *loop.Loop, addr netip.AddrPort, name string) (*Reporter, error) {
+	s, err := l.Datagram(addr)
+	if err != nil {
+		return nil, err
+	}
+	r := &Reporter{socket: s, name: name, state: "on"}
+	r.report()
+	l.Every(every, r.report)
+	return r, nil
+}
+
+// Set changes the state that is reported, and reports it.
+func (r *Reporter) Set(on bool) {
+	state := "off"
+	if on {
+		state = "on"
+	}
+	if state != r.state {
+		r.state = state
+		r.report()
+	}
+}
+
+// report sends one datagram. One that is lost is made good by the next.
+func (r *Reporter) report() { _ = r.socket.Send([]byte("HERE " + r.name + " " + r.state)) }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -158,10 +158,19 @@
 }
 
 func readGauges(b []byte, names []Gauge) shalesail.Gauges {
+	values := make([]float64, 0, 4)
+	for ; len(b) >= 4; b = b[4:] {
+		values = append(values, float(b))
+	}
+	return PlaceGauges(values, names)
+}
+
+// PlaceGauges puts values that come in the order of names in their places. A gauge without a value is NaN.
+func PlaceGauges(values []float64, names []Gauge) shalesail.Gauges {
 	nan := math.NaN()
 	g := shalesail.Gauges{CPU: nan, Runnable: nan, Memory: nan, Connections: nan}
-	for i := 0; i < len(names) && 4*i < len(b); i++ {
-		v := float(b[4*i:])
+	for i := range min(len(names), len(values)) {
+		v := values[i]
 		switch names[i] {
 		case gaugeCPU:
 			g.CPU = v
