--- a/controller.go
+++ b/controller.go
@@ -35,7 +35,7 @@
 	callCut      = 0.9   // a period: how fast a crowded dependency is given room
 	callForget   = 1.002 // a period: the best mean is forgotten by 2% a second
 	callFew      = 10    // calls: a best is taken from no fewer, or one short first call would be it for good
-	callSlots    = 0.2   // of the stated share: what the dependency works on at once; it outlives 5 times that
+	callSlots    = 0.2   // of the stated share: what the dependency works on at once
 	maxCalls     = 6     // tries of one call: the layer below may have lost a third of its servers
 	sayStep      = 0.02  // of the value last sent: smaller moves are not sent
 	learn        = 0.1   // weight of a new run or call in its mean
