Tell every refused client when to come back, and take a missing descriptor for a call never placed

Seen: refusals of requests without hope went out at once but with X-Come-Back-Ms 0, as the module gave no advice. A socket that could not be made for a call proves as much as a refused connection; it was reported as broken, which fails a hand-in that could have been tried again.

--- a/controller.go
+++ b/controller.go
@@ -440,7 +440,8 @@
 		c.fail(r)
 		return
 	}
-	c.answer(r, Action{Kind: ActionRefuse, For: min(max(away, 0), c.set.MaxStayAway), Last: last})
+	away = max(away, tick) // a client is told when to come back, not kept waiting
+	c.answer(r, Action{Kind: ActionRefuse, For: min(away, c.set.MaxStayAway), Last: last})
 }
 
 func (c *Controller) fail(r *request) { c.answer(r, Action{Kind: ActionFail}) }
--- a/controller_test.go
+++ b/controller_test.go
@@ -202,6 +202,16 @@
 	}
 }
 
+// A request that is given up is answered at once; without advice its client would ask again at once too.
+func TestGivenUpRequestIsToldWhenToComeBack(t *testing.T) {
+	h := newHand(t, func(s *Settings) { s.MaxStayAway = time.Second })
+	late := h.ask(1, 0)
+	late.Due = h.now + ms
+	if a := h.want(h.at(0, late), ActionRefuse, 1); a.For < tick {
+		t.Fatalf("advice to stay away for %v", a.For)
+	}
+}
+
 // A dependency that is slow for a reason of its own still works on its slots at once.
 func TestSlowDependencyKeepsItsSlotsBusy(t *testing.T) {
 	h := newHand(t, func(s *Settings) { s.CallsOut = 20 })
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -464,6 +464,9 @@
 	return tries < c.host.Tries(r.Class) && (o == Unreachable || o == Broken && a.Safe)
 }
 
+// comeBack is the least time that a caller is told to stay away after a refusal.
+const comeBack = 20_000
+
 // lateBy is how close to its due time a failure counts as want of time.
 const lateBy = 40_000
 
@@ -504,6 +507,7 @@
 		c.Stats.Served++
 	case Refused:
 		c.Stats.Refused++
+		a.ComeBack = max(a.ComeBack, comeBack)
 	case Late:
 		c.Stats.Late++
 	default:
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -15,7 +15,8 @@
 	ErrFlood    = errors.New("peer sends more than fits the buffer")
 )
 
-// RefusedError tells that a connection was refused, which proves that nothing was sent on it.
+// RefusedError tells that a connection was refused, or could not even be tried for want of a descriptor. Either
+// proves that nothing was sent on it.
 type RefusedError struct{ Err error }
 
 func (e *RefusedError) Error() string { return "connect refused: " + e.Err.Error() }
@@ -72,7 +73,7 @@
 func (l *Loop) Dial(addr netip.AddrPort, limits Limits, h Handler) *Conn {
 	fd, err := unix.Socket(family(addr), unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
-		return l.stillborn(h, fmt.Errorf("loop: socket: %w", err))
+		return l.stillborn(h, &RefusedError{err})
 	}
 	_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
 	if err := unix.Connect(fd, sockaddr(addr)); err != nil && err != unix.EINPROGRESS {
@@ -81,7 +82,7 @@
 	}
 	c, err := newConn(l, fd, limits, true)
 	if err != nil {
-		return l.stillborn(h, err)
+		return l.stillborn(h, &RefusedError{err})
 	}
 	c.h = h
 	return c
