Take the best call time from the fast mean again, once ten calls are in it

Lines: stepCalls() took its best from a mean over fifty calls, which never falls as low, so that crowding was seen late. The slow mean is gone. Conclusion: under a slow dependency the early cut is worth more than a steady estimate.

--- a/controller.go
+++ b/controller.go
@@ -122,7 +122,7 @@
 	callMost, callLimit                float64 // calls that may be in hand, as a mean and now
 	callTime, callStock                float64 // seconds for which they may, and the most saved up
 	calls, callMean                    float64 // calls that ended, and the seconds that one takes of late
-	callUsual, callBest                float64 // the same over longer, and the lowest that this was
+	callBest                           float64 // and the lowest that this was
 	memoryKB                           float64
 	out                                []Action
 }
@@ -661,8 +661,8 @@
 	if c.calls < callFew {
 		return
 	}
-	if c.callBest = min(c.callBest*callForget, c.callUsual); c.callBest == 0 {
-		c.callBest = c.callUsual
+	if c.callBest = min(c.callBest*callForget, c.callMean); c.callBest == 0 {
+		c.callBest = c.callMean
 	}
 	if c.callMean > callSlow*c.callBest {
 		c.callLimit *= callCut
@@ -768,7 +768,6 @@
 	if took := e.Elapsed.Seconds(); !proven { // a call turned away at once is not a fast one
 		c.calls++
 		c.callMean += max(learn, 1/c.calls) * (took - c.callMean)
-		c.callUsual += max(furtherLearn, 1/c.calls) * (took - c.callUsual)
 	}
 	if e.Outcome == OK {
 		c.resume(r, false)
