Keep a uwsgi route's shorter deadline in the core, not as a sign of age in the module

Seen on reading: the module takes the time that a try has left for its age, and shares that come seldom for further tries. A route with deadline_ms under its class's made such requests look a second old beside the platform's, so that they were refused early under load. The core now answers them at their deadline and tells the module that nobody waits. The scenario in core_test.go states it.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -241,8 +241,10 @@
 		Write: class.Effect != shalesail.Safe}
 	r.due = now - queued + class.Deadline.Microseconds()
 	if q.Due > 0 {
-		r.due = now - queued + q.Due
-		e.Due = span(r.due)
+		// The module takes the time that is left for a sign of the try's age, and shorter ones for further tries. It
+		// goes by the class's deadline, and the shorter one is kept here.
+		r.due = min(r.due, now-queued+q.Due)
+		c.host.After(r.due-now, func() { c.expire(r) })
 	}
 	if class.Effect == shalesail.Keyed {
 		if r.entry = c.keys.find(q); r.entry != nil {
@@ -264,6 +266,15 @@
 	return Ticket(r.id)
 }
 
+// expire answers a request whose front set it a deadline shorter than its class's.
+func (c *Core) expire(r *request) {
+	if r.answered {
+		return
+	}
+	c.answer(r, Answer{Kind: Late})
+	c.release(r)
+}
+
 // Abandon tells that nobody waits for the answer any more. What runs goes on, and a key stays remembered.
 func (c *Core) Abandon(t Ticket) {
 	r := c.requests[uint64(t)]
@@ -272,8 +283,14 @@
 	}
 	c.Stats.Gone++
 	c.close(r)
+	c.release(r)
+}
+
+// release tells the module that an answer is no longer owed.
+func (c *Core) release(r *request) {
 	c.gate.report(shalesail.Event{Kind: shalesail.EventGone, Request: r.id})
 	c.settle()
+	c.drop(r)
 }
 
 // Ended reports the end of an attempt.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -10,7 +11,7 @@
 	"shalesail/internal/scenario"
 )
 
-// table is a core with a clock, a back end and callers of the test's own. It sends `ask ID CLASS [KEY]`, `gone ID`,
+// table is a core with a clock, a back end and callers of the test's own. It sends `ask ID CLASS [KEY [DUE-MS]]`, `gone ID`,
 // `end ID OUTCOME [RESULT]`, `need ID`, `called ID OUTCOME`, `drain MS` and `pass MS`; it sees `run ID`, `answer ID KIND
 // [RESULT]`, `call ID` and `give-up ID`.
 type table struct {
@@ -72,11 +73,12 @@
 
 // Send implements scenario.Actor.
 func (t *table) Send(w []string) error {
-	w = append(w, "", "")
+	w = append(w, "", "", "")
 	switch w[0] {
 	case "ask":
 		class, _ := t.Class(w[2])
-		t.ids[w[1]] = t.Submit(&Request{Name: w[1], Class: class, Arrived: t.now, SizeKB: 1, Key: w[3], Asker: asker{t, w[1]}})
+		due, _ := strconv.Atoi(w[4]) // none is 0: the class's
+		t.ids[w[1]] = t.Submit(&Request{Name: w[1], Class: class, Arrived: t.now, SizeKB: 1, Key: w[3], Due: int64(due) * 1000, Asker: asker{t, w[1]}})
 	case "gone":
 		t.Core.Abandon(t.ids[w[1]])
 	case "end":
@@ -161,6 +163,23 @@
 			core expect answer 1 late
 			core send end 1 fine ok
 			core expect nothing`},
+		// Told of it, the module took such requests for old further tries, and gave them up early under load.
+		"a front's shorter deadline is kept by the core": {1, `
+			core send ask 1 check - 500
+			core expect run 1
+			core send pass 400
+			core expect nothing
+			core send pass 100
+			core expect answer 1 late
+			core send end 1 fine ok
+			core send ask 2 hand-in k 500
+			core expect run 2
+			core send pass 500
+			core expect answer 2 late
+			core send ask 3 hand-in k 500
+			core send end 2 fine ok
+			core expect answer 3 served ok
+			core expect nothing`},
 		// The window runs from the arrival of the try that ran, not from its end.
 		"a key is remembered for its window and no longer": {1, `
 			core send ask 1 hand-in k
--- a/internal/fastcgi/fastcgi_test.go
+++ b/internal/fastcgi/fastcgi_test.go
@@ -11,7 +11,7 @@
 // FuzzRead feeds records in any split: the same ones must come out as from the whole.
 func FuzzRead(f *testing.F) {
 	f.Add(Append(AppendBegin(nil, 1, Begin{Responder, true}), Stdin, 1, []byte("body")), uint8(3))
-	f.Add(AppendEnd(Append(nil, 77, 9, bytes.Repeat([]byte("x"), 70000)), 9, 1, Overloaded), uint8(200))
+	f.Add(AppendEnd(Append(nil, 77, 9, bytes.Repeat([]byte("x"), 300)), 9, 1, Overloaded), uint8(200))
 	f.Fuzz(func(t *testing.T, all []byte, step uint8) {
 		whole, wholeErr := drain(all)
 		var got []Record
@@ -32,6 +32,19 @@
 	})
 }
 
+// Content over the size of one record comes as several, and nothing of it is lost.
+func TestLongContentIsSplit(t *testing.T) {
+	long := bytes.Repeat([]byte("0123456789"), 7000)
+	recs, err := drain(Append(nil, Stdout, 3, long))
+	var got []byte
+	for _, r := range recs {
+		got = append(got, r.Content...)
+	}
+	if err != nil || len(recs) != 2 || !bytes.Equal(got, long) {
+		t.Fatalf("%d records, %d bytes, %v", len(recs), len(got), err)
+	}
+}
+
 func drain(b []byte) (out []Record, err error) {
 	for {
 		r, n, err := Read(b)
