--- a/cmd/ryepaddle/main_test.go
+++ b/cmd/ryepaddle/main_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -458,3 +459,24 @@
 		})
 	}
 }
+
+// Balancers may hold more connections than there is room for: idle ones give way, and requests are still answered.
+func TestIdleConnectionsGiveWay(t *testing.T) {
+	engine := scenario.NewEngine(t)
+	addr := engine.Listener.Addr().String()
+	p := launch(t, map[string]any{"engine": addr, "backend": addr, "limits": map[string]any{"memory_mb": 64, "sockets": 64}}, "")
+	for range 70 {
+		c, err := net.Dial("tcp", p.listen["platform"])
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	scenario.Play(t, `
+		engine expect ATTACH 0
+		balancer send 1 quick-check body=code
+		engine expect RUN 1 quick-check code
+		engine send done 1 fine 5/5
+		balancer expect 1 200 5/5`,
+		map[string]scenario.Actor{"engine": engine, "balancer": scenario.NewBalancer(t, p.listen["platform"], false)})
+}
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -2,11 +2,13 @@
 package platform
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"log"
 	"net/netip"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -22,6 +24,7 @@
 	maxOut     = 512 << 10 // answers that a peer has not read: all that it may have open, with room to spare
 	sweepEvery = 200_000
 	readWithin = 30_000_000 // a request that has begun may stand still for so long
+	roomFor    = 16         // idle connections that are closed at once when others wait
 	opsPrefix  = "/ops/"
 	healthPath = "/alive"
 )
@@ -100,16 +103,18 @@
 	}
 }
 
-// makeRoom closes the connection that has been idle for longest, as another waits for its place.
+// makeRoom closes the connections that have been idle for longest, as others wait for their places. One at a time
+// would have each of those wait for a slow peer to close.
 func (f *Front) makeRoom() {
-	var oldest *conn
+	var idle []*conn
 	for c := range f.conns {
-		if len(c.open) == 0 && (oldest == nil || c.used < oldest.used) {
-			oldest = c
+		if len(c.open) == 0 && !c.IsLeaving() {
+			idle = append(idle, c)
 		}
 	}
-	if oldest != nil {
-		oldest.Leave()
+	slices.SortFunc(idle, func(a, b *conn) int { return cmp.Compare(a.used, b.used) })
+	for _, c := range idle[:min(len(idle), roomFor)] {
+		c.Leave()
 	}
 }
 
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -273,6 +273,9 @@
 	c.last = c.loop.After(lingerFor, func() { c.Close(nil) })
 }
 
+// IsLeaving tells whether the connection was left and only waits for its end.
+func (c *Conn) IsLeaving() bool { return c.leaving }
+
 // Close gives the descriptor back, at once. The handler hears of it later in the turn.
 func (c *Conn) Close(err error) {
 	if c.closed {
