--- a/cmd/ryepaddle/main.go
+++ b/cmd/ryepaddle/main.go
@@ -97,7 +97,11 @@
 	r := &runner{cfg: cfg, loop: l}
 	r.link = engine.New(l, cfg.Engine, func(v []float64) core.Gauges { return core.Gauges(wire.PlaceGauges(v, cfg.Meters)) })
 	r.pool = backend.New(l, cfg.Backend)
-	r.front = platform.New(l, r.link)
+	maxResponse := 0
+	if op != nil {
+		maxResponse = op.Limits.ResponseKB << 10
+	}
+	r.front = platform.New(l, r.link, maxResponse)
 	r.route(op)
 	var err error
 	r.core, err = core.New(cfg.Settings, cfg.Seed, core.Host{
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -18,15 +18,16 @@
 )
 
 const (
-	maxParams  = 8 << 10
-	maxBody    = 2 << 10
-	maxOpen    = 64        // requests on one connection; the platform's balancers open 32
-	maxOut     = 512 << 10 // answers that a peer has not read: all that it may have open, with room to spare
-	sweepEvery = 200_000
-	readWithin = 30_000_000 // a request that has begun may stand still for so long
-	roomFor    = 16         // idle connections that are closed at once when others wait
-	opsPrefix  = "/ops/"
-	healthPath = "/alive"
+	maxParams   = 8 << 10
+	maxBody     = 2 << 10
+	maxOpen     = 64        // requests on one connection; the platform's balancers open 32
+	maxOut      = 512 << 10 // answers that a peer has not read: all that it may have open, with room to spare
+	sweepEvery  = 200_000
+	readWithin  = 30_000_000 // a request that has begun may stand still for so long
+	largeUnread = 8
+	roomFor     = 16 // idle connections that are closed at once when others wait
+	opsPrefix   = "/ops/"
+	healthPath  = "/alive"
 )
 
 // Checker does the work of a deep health check and tells how it went.
@@ -38,6 +39,7 @@
 	core    *core.Core
 	checker Checker
 	ln      *loop.Listener
+	maxOut  int
 	conns   map[*conn]struct{}
 	idle    int64
 	leaving bool
@@ -46,15 +48,16 @@
 	stored, good bool
 }
 
-// New makes a front; Listen opens it. The checker may be nil.
-func New(l *loop.Loop, checker Checker) *Front {
-	return &Front{loop: l, checker: checker, conns: map[*conn]struct{}{}, good: true}
+// New makes a front; Listen opens it. The checker may be nil. A connection may leave a few answers of the given size
+// unread beside those of the platform's engine.
+func New(l *loop.Loop, checker Checker, maxResponse int) *Front {
+	return &Front{loop: l, checker: checker, maxOut: maxOut + largeUnread*maxResponse, conns: map[*conn]struct{}{}, good: true}
 }
 
 // Listen begins to take connections for the core, at most so many at once.
 func (f *Front) Listen(addr netip.AddrPort, most int, c *core.Core) (err error) {
 	f.core = c
-	f.ln, err = f.loop.Listen(addr, most, loop.Limits{In: fastcgi.MaxRecord, Out: maxOut}, f.accept, f.makeRoom)
+	f.ln, err = f.loop.Listen(addr, most, loop.Limits{In: fastcgi.MaxRecord, Out: f.maxOut}, f.accept, f.makeRoom)
 	if err == nil {
 		f.loop.Every(sweepEvery, f.sweep)
 	}
@@ -178,7 +181,10 @@
 }
 
 // Closed implements loop.Handler.
-func (c *conn) Closed(error) {
+func (c *conn) Closed(err error) {
+	if errors.Is(err, loop.ErrPeerSlow) {
+		log.Printf("platform: connection closed with %d requests open: %v", len(c.open), err)
+	}
 	delete(c.front.conns, c)
 	open := c.open
 	c.open = nil
--- a/internal/front/uwsgi/front.go
+++ b/internal/front/uwsgi/front.go
@@ -135,7 +135,10 @@
 }
 
 // Closed implements loop.Handler.
-func (c *conn) Closed(error) {
+func (c *conn) Closed(err error) {
+	if errors.Is(err, loop.ErrPeerSlow) {
+		log.Printf("uwsgi: connection closed: %v", err)
+	}
 	c.timer.Stop()
 	delete(c.front.conns, c)
 	if c.sent && !c.answered {
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -181,6 +181,9 @@
 	if c.closed || c.leaving {
 		return
 	}
+	if len(c.out)+len(b) > c.limits.Out {
+		c.flush() // much may have been written in one turn: what the peer takes now does not count
+	}
 	if len(c.out)+len(b) > c.limits.Out {
 		c.Close(ErrPeerSlow)
 		return
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -119,9 +119,7 @@
 	if len(l.timers) == 0 {
 		return 1000
 	}
-	// The turn's clock is old by what the turn took; a wait from it would be late by as much.
-	now := time.Since(l.start).Microseconds() + clockOrigin
-	return int(min(max(l.timers[0].at-now+999, 0)/1000, 1000))
+	return int(min(max(l.timers[0].at-l.now+999, 0)/1000, 1000))
 }
 
 func (l *Loop) watch(fd int, events uint32, s source) error {
