--- a/cmd/ryepaddle/main_test.go
+++ b/cmd/ryepaddle/main_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -480,3 +481,39 @@
 		balancer expect 1 200 5/5`,
 		map[string]scenario.Actor{"engine": engine, "balancer": scenario.NewBalancer(t, p.listen["platform"], false)})
 }
+
+// What speaks another protocol, or this one wrongly, costs its own connection and nothing else.
+func TestGarbageCostsOnlyItsConnection(t *testing.T) {
+	actors := world(t, toServers, false)
+	p := actors["runner"].(*program)
+	r := rand.New(rand.NewPCG(1, 2)) // the same bytes each time
+	for i := range 300 {
+		junk := make([]byte, 1+r.IntN(600))
+		for at := 0; at < len(junk); at++ {
+			junk[at] = byte(r.UintN(256))
+		}
+		if i%2 == 0 { // records and packets whose first bytes are in order
+			copy(junk, []byte{1, byte(1 + r.IntN(11)), 0, byte(r.IntN(3)), 0, byte(r.IntN(64)), byte(r.IntN(8)), 0})
+		}
+		if i%4 == 3 {
+			copy(junk, []byte{0, byte(r.IntN(200)), 0, 0})
+		}
+		c, err := net.Dial("tcp", p.listen[[]string{"platform", "uwsgi"}[i/2%2]])
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Write(junk); err != nil {
+			t.Log(err) // closed on us already
+		}
+		c.Close()
+	}
+	scenario.Play(t, `
+		balancer send 1 full-check body=code
+		engine expect RUN 1 full-check code
+		engine send done 1 fine 5/5
+		balancer expect 1 200 5/5
+		caller send 2 /ops/hand-in key=a
+		one expect /ops/hand-in
+		one send 200 graded
+		caller expect 2 200 graded`, actors)
+}
