--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/netip"
 	"os"
@@ -51,6 +52,9 @@
 
 // ReadPlatform reads and checks the platform's file.
 func ReadPlatform(path string) (*Platform, error) {
+	if path == "" {
+		return nil, errors.New("config: ROUTER_CONFIG names no file")
+	}
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("config: %w", err)
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -199,9 +199,13 @@
 	})
 }
 
-// Stop cancels the call. It may be called on a nil timer, and again.
+// Stop cancels the call, also when it is due in this very turn. It may be called on a nil timer, and again.
 func (t *Timer) Stop() {
-	if t != nil && t.index >= 0 {
+	if t == nil {
+		return
+	}
+	t.fn = nil
+	if t.index >= 0 {
 		heap.Remove(&t.loop.timers, t.index)
 	}
 }
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -176,6 +176,11 @@
 		stopped := l.After(15_000, func() { got = append(got, -1) })
 		stopped.Stop()
 		stopped.Stop()
+		// Two that are due in one turn: the first stops the second, which must not fire from the turn's list.
+		var second *Timer
+		l.After(0, func() { second.Stop() })
+		second = l.After(1, func() { got = append(got, -2) })
+		time.Sleep(time.Millisecond)
 		l.After(int64(40*time.Millisecond/time.Microsecond), l.Stop)
 	})
 	if len(got) != 3 || got[0] != 10 || got[1] != 20 || got[2] != 30 {
