--- a/cmd/ryepaddle/main_test.go
+++ b/cmd/ryepaddle/main_test.go
@@ -184,7 +184,9 @@
 		}
 		operator = "listen: 127.0.0.1:0\nhealth_path: /alive\ninventory: " + path + "\n" + operator
 	}
-	p := launch(t, map[string]any{"engine": engine.Listener.Addr().String(), "backend": backend.Listener.Addr().String()}, operator)
+	// A drain that waits for its stop takes longer than a scenario's patience: it has to end by itself.
+	p := launch(t, map[string]any{"engine": engine.Listener.Addr().String(), "backend": backend.Listener.Addr().String(),
+		"stop_ms": 30000}, operator)
 	p.inventory = path
 	p.servers = map[string]string{"one": one.Listener.Addr().String(), "two": two.Listener.Addr().String(), "bad": "nowhere"}
 	actors := map[string]scenario.Actor{"runner": p, "engine": engine, "backend": backend, "one": one, "two": two,
@@ -430,6 +432,14 @@
 			caller send part 9 /ops/quick-check
 			caller expect 9 408 request does not come
 			one expect nothing`},
+		// A caller that connected and sent nothing held the drain up to the very end.
+		"a silent caller does not hold up a drain": {"limits: {read_ms: 60000}\n" + toEngine, `
+			caller send raw 1
+			caller send 2 /alive
+			caller expect 2 200
+			runner send TERM
+			runner expect exit 0
+			caller expect 1 gone`},
 		"a drain answers what was read on both fronts and runs nothing that is late": {toServers, `
 			balancer send 1 full-check
 			engine expect RUN 1 full-check
--- a/internal/front/uwsgi/front.go
+++ b/internal/front/uwsgi/front.go
@@ -73,8 +73,15 @@
 // SetHealth says how health checks are answered.
 func (f *Front) SetHealth(good bool) { f.good = good }
 
-// Leave stops listening. What has begun to come is still read and answered.
-func (f *Front) Leave() { f.ln.Close() }
+// Leave stops listening. What has begun to come is still read and answered; a connection on which nothing came closes.
+func (f *Front) Leave() {
+	f.ln.Close()
+	for c := range f.conns {
+		if !c.sent && len(c.Unread()) == 0 {
+			c.Leave()
+		}
+	}
+}
 
 func (f *Front) accept(lc *loop.Conn) loop.Handler {
 	c := &conn{front: f, Conn: lc, began: f.loop.Unix()}
--- a/internal/scenario/uwsgi.go
+++ b/internal/scenario/uwsgi.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/hex"
 	"fmt"
 	"io"
 	"net"
@@ -44,19 +45,15 @@
 
 // Send implements Actor.
 func (c *Caller) Send(words []string) error {
-	var packet []byte
 	switch words[0] {
 	case "cancel":
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		return c.conns[words[1]].Close()
 	case "raw":
-		for i := 0; i+1 < len(words[2]); i += 2 {
-			v, err := strconv.ParseUint(words[2][i:i+2], 16, 8)
-			if err != nil {
-				return err
-			}
-			packet = append(packet, byte(v))
+		packet, err := hex.DecodeString(strings.Join(words[2:], ""))
+		if err != nil {
+			return err
 		}
 		return c.open(words[1], packet)
 	case "part":
