Hold bad clients to bounds of time, size and identity, and never serve them a stranger's result

A repeat by key got the result whatever body it carried.

Now: a key stands for class, tenant, key and body, an id for one open request (422); 2 s for a request to come whole; a body over its limit is refused before its end; records over 8 KB and partial requests over 2 MB in all close the worst peer; a rejected request is the last on its connection; silent connections make room first; X-Queue-Start ahead of now is an error, as its key would be kept for ever; callers share credit once a request of theirs has run. The log is written beside the loop and cut to 10 lines a second of a kind. The same on the uwsgi front, where they apply.

--- a/cmd/ryepaddle/main.go
+++ b/cmd/ryepaddle/main.go
@@ -18,6 +18,7 @@
 	"shalesail/internal/engine"
 	"shalesail/internal/front/platform"
 	"shalesail/internal/front/uwsgi"
+	"shalesail/internal/logs"
 	"shalesail/internal/loop"
 	"shalesail/internal/roster"
 	"shalesail/internal/upstream"
@@ -26,7 +27,11 @@
 
 func main() {
 	log.SetFlags(log.Ltime | log.Lmicroseconds)
-	if err := run(); err != nil {
+	out := logs.NewWriter(os.Stderr)
+	log.SetOutput(out)
+	err := run()
+	out.Close()
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "ryepaddle:", err)
 		os.Exit(1)
 	}
--- a/cmd/ryepaddle/main_test.go
+++ b/cmd/ryepaddle/main_test.go
@@ -243,15 +243,62 @@
 		"requests that cannot be read are failed": {"", `
 			balancer send 1 no-such-class
 			balancer expect 1 400 no class at "/ops/no-such-class"
+			balancer expect gone
 			balancer send 2 hand-in
 			balancer expect 2 400 no X-Dedupe-Key in a keyed class
+			balancer expect gone
 			balancer send 3 quick-check HTTP_X_CUSTOMER=west
 			balancer expect 3 400 unknown X-Customer "west"
+			balancer expect gone
 			balancer send 4 quick-check HTTP_X_HEAP_KB=NaN
 			balancer expect 4 400 X-Heap-Kb "NaN"
+			balancer expect gone
 			balancer send 5 quick-check HTTP_X_QUEUE_START=soon
 			balancer expect 5 400 X-Queue-Start "soon"
+			balancer expect gone
+			balancer send 6 quick-check age=-5000 HTTP_X_QUEUE_START=9999999999999
+			balancer expect 6 400 X-Queue-Start "9999999999999"
+			balancer expect gone
+			balancer send 7 quick-check body=code CONTENT_LENGTH=5
+			balancer expect 7 400 CONTENT_LENGTH "5", and a body of 4 bytes
+			balancer expect gone
 			engine expect nothing`},
+		// Bad clients got strangers' results: by the key of one, or by the id of a request that was open.
+		"what belongs to another request is an error": {toEngine, `
+			balancer send 1 hand-in key=a body=code
+			engine expect RUN 1 hand-in code
+			other send 2 hand-in key=a body=other
+			other expect 2 422 the dedupe key stands for another body
+			other expect gone
+			caller send 3 /ops/hand-in key=a body=other
+			caller expect 3 422 the dedupe key stands for another body
+			other send 1 hand-in key=a body=code
+			other expect 1 422 a request by this id is open
+			engine send done 1 fine graded
+			balancer expect 1 200 graded
+			other expect gone
+			other send 4 hand-in key=a body=other
+			other expect 4 422 the dedupe key stands for another body
+			other expect gone
+			other send 5 quick-check
+			engine expect RUN 5 quick-check
+			engine send no 5 RUN
+			other expect 5 404 nobody here knows this request
+			other expect gone
+			engine expect nothing`},
+		// A peer that said nothing, or never came to an end, held its place for half a minute.
+		"what does not come whole is closed in time": {"", `
+			other send raw 0101000100080000000101000000000001040001000000000105000120000000
+			other expect gone
+			other send raw 01010001000800000001010000000000
+			other expect gone
+			balancer expect gone`},
+		"a body over its limit is refused before its end": {"", `
+			other send raw 010100010008000000010100000000000104000100000000
+			other send stdin 1 2048
+			other send stdin 1 1
+			other expect 1 413 body over its limit
+			other expect gone`},
 		"management records and unknown types are answered": {"", `
 			balancer send raw 0163000000000000
 			balancer expect unknown type 99
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -73,7 +73,7 @@
 func parseOperator(path string, text []byte, p *Platform) (*Operator, error) {
 	o := &Operator{file: path, KeyVar: "HTTP_X_DEDUPE_KEY", Tenant: tenant{Var: "HTTP_X_CUSTOMER"},
 		Limits: Limits{Connections: 128, ServerConns: 64, VarsKB: 16, BodyKB: 64, ResponseKB: 64, RequestKB: 32,
-			ReadMs: 5000, ConnectMs: 1000, Tries: 2}, GroupsByUse: map[string]string{}}
+			ReadMs: 2500, ConnectMs: 1000, Tries: 2}, GroupsByUse: map[string]string{}}
 	d := yaml.NewDecoder(bytes.NewReader(text))
 	d.KnownFields(true)
 	if err := d.Decode(o); err == io.EOF {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -22,6 +22,8 @@
 	Refused                 // this try never ran
 	Failed                  // no promise
 	Late                    // failed for want of time
+	Misused                 // failed, as it names what belongs to another request; Reason says how
+	Foreign                 // failed, as whoever runs requests knows of none like it
 )
 
 // Field is one named value that goes with a result.
@@ -40,6 +42,20 @@
 	Result   *Result // of Served
 	ComeBack int64   // of Refused: how long to stay away
 	Last     bool    // of Refused: the wish that nobody else is tried
+	Reason   Reason  // of Misused
+}
+
+// Reason is how a request was misused.
+type Reason uint8
+
+// The reasons.
+const (
+	NameOpen Reason = iota + 1 // another request by its name is open
+	KeyTaken                   // its key stands for another body
+)
+
+func (r Reason) String() string {
+	return map[Reason]string{NameOpen: "a request by this id is open", KeyTaken: "the dedupe key stands for another body"}[r]
 }
 
 // Asker gets the answer to a request, once, unless the request was abandoned before.
@@ -171,6 +187,8 @@
 	set      shalesail.Settings
 	gate     gate
 	requests map[uint64]*request
+	names    map[string]struct{} // of all in requests
+	callers  callerTable
 	lastID   uint64
 	open     int // not yet answered
 	keys     keyTable
@@ -180,7 +198,7 @@
 }
 
 // Stats counts what became of requests since the start.
-type Stats struct{ Read, Served, Refused, Failed, Late, Gone, Started, Repeats int64 }
+type Stats struct{ Read, Served, Refused, Failed, Late, Gone, Started, Repeats, Misused int64 }
 
 // New makes the table round a fresh module.
 func New(set shalesail.Settings, seed uint64, host Host) (*Core, error) {
@@ -191,7 +209,8 @@
 	if host.Log == nil {
 		host.Log = log.Printf
 	}
-	c := &Core{host: host, set: set, requests: map[uint64]*request{}, keys: newKeyTable()}
+	c := &Core{host: host, set: set, requests: map[uint64]*request{}, names: map[string]struct{}{},
+		callers: callerTable{last: map[uint32]int64{}}, keys: newKeyTable()}
 	c.gate = gate{module: module, now: host.Now}
 	return c, nil
 }
@@ -242,30 +261,38 @@
 
 // Submit takes over a request that has been read whole. Its answer may come before Submit returns.
 func (c *Core) Submit(q *Request) Ticket {
+	// A second request by a name would be taken for the first by whoever runs them, and get its result.
+	if _, taken := c.names[q.Name]; taken {
+		return c.misused(q, NameOpen)
+	}
 	c.lastID++
 	now := c.host.Now()
 	queued := max(c.host.Unix()-q.Arrived, 0)
 	r := &request{Request: q, id: c.lastID}
 	class := &c.set.Classes[q.Class]
 	e := shalesail.Event{Kind: shalesail.EventRequest, Request: r.id, Class: q.Class, Tenant: q.Tenant,
-		Caller: q.Caller, SizeKB: q.SizeKB, Rank: q.Rank, Key: q.Subject, Queued: span(queued),
+		Caller: c.callers.number(q.Caller), SizeKB: q.SizeKB, Rank: q.Rank, Key: q.Subject, Queued: span(queued),
 		Write: class.Effect != shalesail.Safe}
 	r.due = now - queued + class.Deadline.Microseconds()
-	if q.Due > 0 {
-		// The module takes the time that is left for a sign of the try's age, and shorter ones for further tries. It
-		// goes by the class's deadline, and the shorter one is kept here.
-		r.due = min(r.due, now-queued+q.Due)
-		c.host.After(r.due-now, func() { c.expire(r) })
-	}
 	if class.Effect == shalesail.Keyed {
 		if r.entry = c.keys.find(q); r.entry != nil {
+			// All tries of one request carry one body. What comes with another must not get a stranger's result.
+			if r.entry.body != bodyOf(q) {
+				return c.misused(q, KeyTaken)
+			}
 			e.Prior = r.entry.owner
 			c.Stats.Repeats++
 		}
 	}
-	c.requests[r.id] = r
+	c.requests[r.id], c.names[q.Name] = r, struct{}{}
 	c.open++
 	c.Stats.Read++
+	if q.Due > 0 {
+		// The module takes the time that is left for a sign of the try's age, and shorter ones for further tries. It
+		// goes by the class's deadline, and the shorter one is kept here.
+		r.due = min(r.due, now-queued+q.Due)
+		c.host.After(r.due-now, func() { c.expire(r) })
+	}
 	if class.Effect == shalesail.Keyed && r.entry == nil && c.keys.full() {
 		c.host.Log("core: the table of keys is full, %s refused", class.Name)
 		c.answer(r, Answer{Kind: Refused, ComeBack: fullFor})
@@ -277,6 +304,13 @@
 	return Ticket(r.id)
 }
 
+// misused answers a request that is not taken in. The module never hears of it.
+func (c *Core) misused(q *Request, why Reason) Ticket {
+	c.Stats.Misused++
+	q.Asker.Answer(Answer{Kind: Misused, Reason: why})
+	return 0
+}
+
 // expire answers a request whose front set it a deadline shorter than its class's.
 func (c *Core) expire(r *request) {
 	if r.answered {
@@ -312,6 +346,9 @@
 	}
 	a.over, r.running = true, nil
 	c.giveUpCall(r, a)
+	if o == Fine {
+		c.callers.prove(r.Caller, c.host.Now())
+	}
 	if c.again(r, a, o) {
 		c.attempt(r, a)
 		return
@@ -334,7 +371,7 @@
 		c.answer(r, Answer{Kind: Late})
 	case Unknown: // not a refusal: to try it elsewhere is in vain
 		done.Outcome = shalesail.Moot
-		c.answer(r, Answer{Kind: Failed})
+		c.answer(r, Answer{Kind: Foreign})
 	default:
 		done.Outcome = shalesail.Failed
 		c.answer(r, Answer{Kind: Failed})
@@ -351,6 +388,7 @@
 		return
 	}
 	r.wants = body
+	c.callers.prove(r.Caller, c.host.Now())
 	if r.answered { // the run is over as far as anybody cares; it ends by itself
 		return
 	}
@@ -452,6 +490,7 @@
 func (c *Core) tick() {
 	c.host.Gauges(func(v Gauges) {
 		c.keys.expire(c.host.Unix())
+		c.callers.expire(c.host.Now())
 		c.gate.tick(v)
 		c.settle()
 	})
@@ -566,6 +605,7 @@
 func (c *Core) drop(r *request) {
 	if r.answered && r.running == nil {
 		delete(c.requests, r.id)
+		delete(c.names, r.Name)
 	}
 }
 
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -1,6 +1,10 @@
 package core
 
-import "shalesail"
+import (
+	"crypto/sha256"
+
+	"shalesail"
+)
 
 // keyName tells the tries of one request from those of others, whichever front they came through.
 type keyName struct {
@@ -12,7 +16,8 @@
 type entry struct {
 	name    keyName
 	owner   uint64 // the try that is kept, and that runs if any does
-	until   int64  // Unix time up to which a repeat may arrive
+	body    bodySum
+	until   int64 // Unix time up to which a repeat may arrive
 	ran     bool
 	ended   bool
 	failed  Kind    // of an end without a result
@@ -35,6 +40,11 @@
 // sweepEvery bounds the work of looking through the table.
 const sweepEvery = 500_000
 
+// bodySum stands for a body, of which all tries carry the same.
+type bodySum [sha256.Size]byte
+
+func bodyOf(q *Request) bodySum { return sha256.Sum256(q.Body) }
+
 func nameOf(q *Request) keyName { return keyName{q.Class, q.Tenant, q.Key} }
 
 // find is the entry that a request repeats, if it came while that stood.
@@ -51,7 +61,7 @@
 	e := t.byName[nameOf(r.Request)]
 	if e == nil || e.owner != r.id {
 		t.remove(e)
-		e = &entry{name: nameOf(r.Request), owner: r.id}
+		e = &entry{name: nameOf(r.Request), owner: r.id, body: bodyOf(r.Request)}
 		t.byName[e.name] = e
 	}
 	e.until = max(e.until, until)
--- a/internal/fastcgi/fastcgi.go
+++ b/internal/fastcgi/fastcgi.go
@@ -41,8 +41,11 @@
 	MaxRecord = headerSize + maxContent + 255
 )
 
-// ErrVersion tells that the peer speaks something else.
-var ErrVersion = errors.New("fastcgi: not version 1")
+// The ways in which a record can be wrong.
+var (
+	ErrVersion = errors.New("fastcgi: not version 1") // the peer speaks something else
+	ErrLong    = errors.New("fastcgi: record over its limit")
+)
 
 // Record is one record. Content is a part of the bytes that it was read from.
 type Record struct {
@@ -51,8 +54,9 @@
 	Content []byte
 }
 
-// Read takes one record from the front of b. It returns 0 bytes used when b holds only a part of one.
-func Read(b []byte) (Record, int, error) {
+// Read takes one record from the front of b. It returns 0 bytes used when b holds only a part of one. One that is longer
+// than most is an error as soon as its head has come.
+func Read(b []byte, most int) (Record, int, error) {
 	if len(b) > 0 && b[0] != version {
 		return Record{}, 0, ErrVersion
 	}
@@ -61,6 +65,9 @@
 	}
 	n := int(binary.BigEndian.Uint16(b[4:]))
 	size := headerSize + n + int(b[6])
+	if size > most {
+		return Record{}, 0, fmt.Errorf("%w: %d bytes", ErrLong, size)
+	}
 	if len(b) < size {
 		return Record{}, 0, nil
 	}
--- a/internal/fastcgi/fastcgi_test.go
+++ b/internal/fastcgi/fastcgi_test.go
@@ -47,7 +47,7 @@
 
 func drain(b []byte) (out []Record, err error) {
 	for {
-		r, n, err := Read(b)
+		r, n, err := Read(b, MaxRecord)
 		if err != nil || n == 0 {
 			return out, err
 		}
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -5,7 +5,6 @@
 	"cmp"
 	"errors"
 	"fmt"
-	"log"
 	"net/netip"
 	"net/url"
 	"slices"
@@ -14,18 +13,23 @@
 
 	"shalesail/internal/core"
 	"shalesail/internal/fastcgi"
+	"shalesail/internal/logs"
 	"shalesail/internal/loop"
 )
 
 const (
 	maxParams   = 8 << 10
 	maxBody     = 2 << 10
-	maxOpen     = 64        // requests on one connection; the platform's balancers open 32
-	maxOut      = 512 << 10 // answers that a peer has not read: all that it may have open, with room to spare
-	sweepEvery  = 200_000
-	readWithin  = 30_000_000 // a request that has begun may stand still for so long
+	maxOpen     = 32        // requests on one connection; the platform's balancers open no more
+	maxOut      = 256 << 10 // answers that a peer has not read: all that it may have open, with room to spare
+	sweepEvery  = 100_000
+	askWithin   = 2_000_000  // the first whole request of a connection comes within so long
+	readWithin  = 2_000_000  // and each further one, once it has begun
+	takeWithin  = 10_000_000 // a peer takes what it is sent
+	youngFor    = 100_000    // a connection that was just taken does not have to make room
 	largeUnread = 8
-	roomFor     = 16 // idle connections that are closed at once when others wait
+	roomFor     = 16      // connections that are closed at once when others wait
+	maxUnread   = 2 << 20 // parts of requests on all connections together
 	opsPrefix   = "/ops/"
 	healthPath  = "/alive"
 )
@@ -42,6 +46,8 @@
 	maxOut  int
 	conns   map[*conn]struct{}
 	idle    int64
+	partial int // bytes of requests that have not come whole
+	bad     logs.Limit
 	leaving bool
 	// What goes with answers.
 	pressure     string
@@ -51,7 +57,7 @@
 // New makes a front; Listen opens it. The checker may be nil. A connection may leave a few answers of the given size
 // unread beside those of the platform's engine.
 func New(l *loop.Loop, checker Checker, maxResponse int) *Front {
-	f := &Front{loop: l, checker: checker, conns: map[*conn]struct{}{}, good: true}
+	f := &Front{loop: l, checker: checker, conns: map[*conn]struct{}{}, good: true, bad: logs.Limit{Now: l.Now}}
 	f.SetMaxResponse(maxResponse)
 	return f
 }
@@ -68,7 +74,11 @@
 func (f *Front) SetMost(most int) { f.ln.SetMost(most) }
 
 // limits bound the buffers of a connection.
-func (f *Front) limits() loop.Limits { return loop.Limits{In: fastcgi.MaxRecord, Out: f.maxOut} }
+func (f *Front) limits() loop.Limits { return loop.Limits{In: maxRecord, Out: f.maxOut} }
+
+// maxRecord is the longest record that is waited for. No balancer has a use for longer ones, and a crowd of peers that
+// each leave a large one unfinished would take all memory.
+const maxRecord = 8 + maxParams + 255
 
 // Listen begins to take connections for the core, at most so many at once.
 func (f *Front) Listen(addr netip.AddrPort, most int, c *core.Core) (err error) {
@@ -103,48 +113,109 @@
 func (f *Front) Conns() int { return len(f.conns) }
 
 func (f *Front) accept(lc *loop.Conn) loop.Handler {
-	c := &conn{front: f, Conn: lc, open: map[uint16]*exchange{}, used: f.loop.Now()}
+	c := &conn{front: f, Conn: lc, open: map[uint16]*exchange{}, began: f.loop.Now(), used: f.loop.Now()}
 	f.conns[c] = struct{}{}
 	return c
 }
 
-// sweep closes idle connections.
+// sweep closes connections that are idle, or on which a request does not come whole, or answers are not taken.
 func (f *Front) sweep() {
+	now := f.loop.Now()
 	for c := range f.conns {
-		still := f.loop.Now() - c.used
 		switch {
-		case len(c.open) == 0 && (f.leaving || f.idle > 0 && still > f.idle):
-			c.Leave()
-		case still > readWithin && !c.owed():
-			log.Printf("platform: connection closed: a request does not come")
+		case c.IsClosed() || c.IsLeaving(): // that has a limit of its own
+		case c.Stuck() > takeWithin:
+			c.Close(loop.ErrPeerSlow)
+		case !c.asked && now-c.began > askWithin || c.late(now):
+			f.bad.Printf("platform: connection closed: a request does not come")
 			c.Close(nil)
+		case len(c.open) == 0 && (f.leaving || f.idle > 0 && now-c.used > f.idle):
+			c.Leave()
+		}
+	}
+}
+
+// late tells whether a request on the connection has begun and does not go on to its end. That something comes is not
+// enough: a peer that sends a byte now and then would hold its place for good.
+func (c *conn) late(now int64) bool {
+	for _, x := range c.open {
+		if !x.sent && now-x.began > readWithin {
+			return true
 		}
 	}
+	return len(c.open) == 0 && len(c.Unread()) > 0 && now-c.used > readWithin
 }
 
-// makeRoom closes the connections that have been idle for longest, as others wait for their places. One at a time
-// would have each of those wait for a slow peer to close.
+// makeRoom closes connections as others wait for their places: first those that have never asked for anything, then
+// those that have been idle for longest. One at a time would have each of those wait for a slow peer to close.
 func (f *Front) makeRoom() {
 	var idle []*conn
 	for c := range f.conns {
-		if len(c.open) == 0 && !c.IsLeaving() {
+		silent := !c.asked && f.loop.Now()-c.began > youngFor
+		if !c.IsLeaving() && !c.IsClosed() && (silent || c.asked && len(c.open) == 0) {
 			idle = append(idle, c)
 		}
 	}
-	slices.SortFunc(idle, func(a, b *conn) int { return cmp.Compare(a.used, b.used) })
+	slices.SortFunc(idle, func(a, b *conn) int {
+		if a.asked != b.asked {
+			return cmp.Compare(btoi(a.asked), btoi(b.asked))
+		}
+		return cmp.Compare(a.used, b.used)
+	})
 	for _, c := range idle[:min(len(idle), roomFor)] {
-		c.Leave()
+		if c.asked {
+			c.Leave()
+		} else {
+			c.Close(nil)
+		}
+	}
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// hold counts bytes of requests that have not come whole. When they are too many on all connections together, the
+// connection with the most of them goes: it is not one of those that send what they begin.
+func (f *Front) hold(n int) {
+	f.partial += n
+	if f.partial <= maxUnread {
+		return
+	}
+	var most *conn
+	for c := range f.conns {
+		if !c.IsClosed() && (most == nil || c.partial > most.partial) {
+			most = c
+		}
+	}
+	if most != nil {
+		f.bad.Printf("platform: connection closed: %d bytes of requests that do not come whole", most.partial)
+		most.forget()
+		most.Close(nil)
 	}
 }
 
 // conn is one connection of a balancer.
 type conn struct {
 	*loop.Conn
-	front *Front
-	open  map[uint16]*exchange
-	used  int64 // when something last came or was answered
-	ended bool  // the peer sends no more
-	last  bool  // the peer wants the connection closed after its answers
+	front   *Front
+	open    map[uint16]*exchange
+	partial int   // bytes of requests that have not come whole
+	began   int64 // when it was taken
+	used    int64 // when something last came or was answered
+	asked   bool  // a whole request has come
+	ended   bool  // the peer sends no more
+	last    bool  // the connection closes after its answers
+}
+
+// forget gives back what is held of requests that have not come whole.
+func (c *conn) forget() {
+	for _, x := range c.open {
+		x.forget()
+	}
 }
 
 // owed tells whether an answer is still to go out on the connection.
@@ -165,27 +236,49 @@
 	params []byte
 	body   []byte
 	whole  bool // the parameters are
-	big    bool // the body is over its limit
 	sent   bool // it was handed to the core
+	began  int64
 	ticket core.Ticket
 }
 
+// forget gives back the parts of a request.
+func (x *exchange) forget() {
+	n := len(x.params) + len(x.body)
+	x.params, x.body = nil, nil
+	x.conn.partial -= n
+	x.conn.front.partial -= n
+}
+
+// add takes a further part of a request.
+func (x *exchange) add(to *[]byte, part []byte) {
+	*to = append(*to, part...)
+	x.conn.partial += len(part)
+	x.conn.front.hold(len(part))
+}
+
 // Connected implements loop.Handler.
 func (c *conn) Connected() {}
 
 // Data implements loop.Handler.
 func (c *conn) Data(b []byte) (used int, err error) {
 	for !c.IsClosed() {
-		rec, n, err := fastcgi.Read(b[used:])
-		if err != nil || n == 0 {
+		rec, n, err := fastcgi.Read(b[used:], maxRecord)
+		if err != nil {
+			c.front.bad.Printf("platform: connection closed: %v", err)
 			return used, err
 		}
+		if n == 0 {
+			return used, nil
+		}
 		used += n
 		c.used = c.front.loop.Now()
 		if err := c.record(rec); err != nil {
-			log.Printf("platform: connection closed: %v", err)
+			c.front.bad.Printf("platform: connection closed: %v", err)
 			return used, err
 		}
+		if c.IsLeaving() { // what comes now is not read any more
+			return len(b), nil
+		}
 	}
 	return used, nil
 }
@@ -199,8 +292,9 @@
 // Closed implements loop.Handler.
 func (c *conn) Closed(err error) {
 	if errors.Is(err, loop.ErrPeerSlow) {
-		log.Printf("platform: connection closed with %d requests open: %v", len(c.open), err)
+		c.front.bad.Printf("platform: connection closed with %d requests open: %v", len(c.open), err)
 	}
+	c.forget()
 	delete(c.front.conns, c)
 	open := c.open
 	c.open = nil
@@ -228,12 +322,16 @@
 		if x.whole = len(rec.Content) == 0; len(x.params)+len(rec.Content) > maxParams {
 			return errors.New("parameters over their limit")
 		}
-		x.params = append(x.params, rec.Content...)
+		x.add(&x.params, rec.Content)
 	case rec.Type == fastcgi.Stdin && x.whole && !x.sent:
-		if len(rec.Content) == 0 {
+		switch {
+		case len(rec.Content) == 0:
 			x.read()
-		} else if x.big = x.big || len(x.body)+len(rec.Content) > maxBody; !x.big {
-			x.body = append(x.body, rec.Content...)
+		case len(x.body)+len(rec.Content) > maxBody: // its end may never come
+			x.sent = true
+			x.reject(413, errors.New("body over its limit"))
+		default:
+			x.add(&x.body, rec.Content)
 		}
 	}
 	return nil
@@ -242,6 +340,7 @@
 // manage answers records that are about the connection. Those of unknown types get told so.
 func (c *conn) manage(rec fastcgi.Record) error {
 	if rec.Type != fastcgi.GetValues {
+		c.last = true
 		c.Write(fastcgi.Append(nil, fastcgi.UnknownType, 0, []byte{rec.Type, 0, 0, 0, 0, 0, 0, 0}))
 		return nil
 	}
@@ -264,11 +363,12 @@
 	case err != nil:
 		return err
 	case v.Role != fastcgi.Responder:
+		c.last = true
 		c.Write(fastcgi.AppendEnd(nil, rec.ID, 0, fastcgi.UnknownRole))
 	case len(c.open) >= maxOpen:
 		c.Write(fastcgi.AppendEnd(nil, rec.ID, 0, fastcgi.Overloaded))
 	default:
-		c.open[rec.ID] = &exchange{conn: c, id: rec.ID, keep: v.Keep}
+		c.open[rec.ID] = &exchange{conn: c, id: rec.ID, keep: v.Keep, began: c.front.loop.Now()}
 	}
 	return nil
 }
@@ -287,6 +387,7 @@
 	if c.open[x.id] != x {
 		return
 	}
+	x.forget()
 	delete(c.open, x.id)
 	c.used = c.front.loop.Now()
 	c.Write(fastcgi.AppendEnd(out, x.id, 0, fastcgi.RequestComplete))
@@ -328,6 +429,10 @@
 		x.respond(503, nil, fields...)
 	case core.Late:
 		x.respond(504, nil)
+	case core.Misused:
+		x.reject(422, errors.New(a.Reason.String()))
+	case core.Foreign:
+		x.reject(404, errors.New("nobody here knows this request"))
 	default:
 		x.respond(500, nil)
 	}
@@ -335,7 +440,7 @@
 
 // read takes over a request whose last byte has come.
 func (x *exchange) read() {
-	x.sent = true
+	x.sent, x.conn.asked = true, true
 	f := x.conn.front
 	p := map[string]string{}
 	var meta []core.Field
@@ -346,7 +451,8 @@
 		x.reject(400, err)
 		return
 	}
-	x.params = nil
+	body := x.body
+	x.forget()
 	path := p["SCRIPT_NAME"]
 	if path == healthPath {
 		x.health(p["QUERY_STRING"])
@@ -356,16 +462,19 @@
 	switch {
 	case err != nil:
 		x.reject(400, err)
-	case x.big:
-		x.reject(413, errors.New("body over its limit"))
+	case p["CONTENT_LENGTH"] != "" && p["CONTENT_LENGTH"] != strconv.Itoa(len(body)):
+		x.reject(400, fmt.Errorf("CONTENT_LENGTH %q, and a body of %d bytes", p["CONTENT_LENGTH"], len(body)))
 	default:
-		q.Body, q.Meta, q.Asker = x.body, meta, x
+		q.Body, q.Meta, q.Asker = body, meta, x
 		x.ticket = f.core.Submit(q)
 	}
 }
 
+// reject answers what can't be taken for a request of a balancer. Its connection takes no more: the next would be as
+// bad, and a peer that sends the same again as soon as it is answered would keep the loop busy with nothing else.
 func (x *exchange) reject(status int, err error) {
-	log.Printf("platform: bad request answered %d: %v", status, err)
+	x.conn.last = true
+	x.conn.front.bad.Printf("platform: bad request answered %d: %v", status, err)
 	x.respond(status, []byte(err.Error()+"\n"), "Content-Type", "text/plain")
 }
 
@@ -386,6 +495,8 @@
 	f.checker.Check(answer)
 }
 
+const maxAhead = 1000 // milliseconds by which a balancer's clock may be ahead
+
 // request reads the fields of a request.
 func (f *Front) request(p map[string]string, path string) (*core.Request, error) {
 	q := &core.Request{Name: p["HTTP_X_CALL_ID"], Key: p["HTTP_X_DEDUPE_KEY"]}
@@ -406,7 +517,8 @@
 		return nil, errors.New("no X-Dedupe-Key in a keyed class")
 	}
 	ms, err := strconv.ParseInt(p["HTTP_X_QUEUE_START"], 10, 64)
-	if err != nil || ms <= 0 || ms > 1<<50 {
+	// A key is remembered for its window from that time on: one far ahead would be remembered for ever.
+	if err != nil || ms <= 0 || ms > f.loop.Unix()/1000+maxAhead {
 		return nil, fmt.Errorf("X-Queue-Start %q", p["HTTP_X_QUEUE_START"])
 	}
 	q.Arrived = ms * 1000
--- a/internal/front/uwsgi/front.go
+++ b/internal/front/uwsgi/front.go
@@ -5,13 +5,14 @@
 	"cmp"
 	"errors"
 	"fmt"
-	"log"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 
 	"shalesail/internal/core"
 	"shalesail/internal/httpmsg"
+	"shalesail/internal/logs"
 	"shalesail/internal/loop"
 	"shalesail/internal/uwsgi"
 )
@@ -40,6 +41,12 @@
 	Seed          uint64
 }
 
+const (
+	maxExtra = 64 << 10 // bytes behind a request that are thrown away
+	youngFor = 100_000  // a connection that was just taken does not have to make room
+	roomFor  = 16       // connections that are closed at once when others wait
+)
+
 // Front owns the listening socket of uwsgi callers and the connections on it.
 type Front struct {
 	loop  *loop.Loop
@@ -49,17 +56,18 @@
 	conns map[*conn]struct{}
 	names uint64
 	good  bool
+	bad   logs.Limit
 }
 
 // New makes a front; Listen opens it.
 func New(l *loop.Loop, opt Options) *Front {
-	return &Front{loop: l, opt: opt, conns: map[*conn]struct{}{}, names: opt.Seed, good: true}
+	return &Front{loop: l, opt: opt, conns: map[*conn]struct{}{}, names: opt.Seed, good: true, bad: logs.Limit{Now: l.Now}}
 }
 
 // Listen begins to take connections for the core.
 func (f *Front) Listen(c *core.Core) (err error) {
 	f.core = c
-	f.ln, err = f.loop.Listen(f.opt.Listen, f.opt.MaxConns, f.limits(), f.accept, nil)
+	f.ln, err = f.loop.Listen(f.opt.Listen, f.opt.MaxConns, f.limits(), f.accept, f.makeRoom)
 	return err
 }
 
@@ -95,6 +103,21 @@
 	}
 }
 
+// makeRoom closes connections on which no request has come, the oldest first, as others wait for their places. A crowd
+// of silent peers would else keep all callers out for as long as a request may take to come.
+func (f *Front) makeRoom() {
+	var silent []*conn
+	for c := range f.conns {
+		if !c.sent && !c.answered && f.loop.Unix()-c.began > youngFor {
+			silent = append(silent, c)
+		}
+	}
+	slices.SortFunc(silent, func(a, b *conn) int { return cmp.Compare(a.began, b.began) })
+	for _, c := range silent[:min(len(silent), roomFor)] {
+		c.Close(nil)
+	}
+}
+
 func (f *Front) accept(lc *loop.Conn) loop.Handler {
 	c := &conn{front: f, Conn: lc, began: f.loop.Unix()}
 	c.timer = f.loop.After(f.opt.ReadWithin, func() { c.reject(408, errors.New("request does not come")) })
@@ -111,6 +134,7 @@
 	sent     bool // the request was handed to the core
 	answered bool
 	headOnly bool
+	extra    int // bytes that came behind the request
 	ticket   core.Ticket
 }
 
@@ -119,7 +143,10 @@
 
 // Data implements loop.Handler.
 func (c *conn) Data(b []byte) (int, error) {
-	if c.sent || c.answered { // more than one request: it is thrown away
+	if c.sent || c.answered { // more than one request: it is thrown away, as long as it ends
+		if c.extra += len(b); c.extra > maxExtra {
+			return len(b), loop.ErrFlood
+		}
 		return len(b), nil
 	}
 	r, n, err := uwsgi.Read(b, c.front.opt.MaxVars, c.front.opt.MaxBody)
@@ -148,7 +175,7 @@
 // End implements loop.Handler. A caller that closes before its answer cancels the request.
 func (c *conn) End() bool {
 	if !c.sent && !c.answered {
-		log.Printf("uwsgi: connection closed before the request was whole")
+		c.front.bad.Printf("uwsgi: connection closed before the request was whole")
 	}
 	return c.answered
 }
@@ -156,7 +183,7 @@
 // Closed implements loop.Handler.
 func (c *conn) Closed(err error) {
 	if errors.Is(err, loop.ErrPeerSlow) {
-		log.Printf("uwsgi: connection closed: %v", err)
+		c.front.bad.Printf("uwsgi: connection closed: %v", err)
 	}
 	c.timer.Stop()
 	delete(c.front.conns, c)
@@ -167,7 +194,7 @@
 }
 
 func (c *conn) reject(status int, err error) {
-	log.Printf("uwsgi: bad request answered %d: %v", status, err)
+	c.front.bad.Printf("uwsgi: bad request answered %d: %v", status, err)
 	c.respond(&uwsgi.Response{Status: status, Body: []byte(err.Error() + "\n"),
 		Fields: []httpmsg.Field{{Name: "Content-Type", Value: "text/plain"}}})
 }
@@ -198,6 +225,9 @@
 			{Name: "X-Come-Back-Ms", Value: strconv.FormatInt(ms, 10)}}
 	case core.Late:
 		r.Status = 504
+	case core.Misused:
+		c.reject(422, errors.New(a.Reason.String()))
+		return
 	default:
 		r.Status = 502
 	}
@@ -222,7 +252,7 @@
 		return
 	}
 	q.Arrived, q.Asker = f.arrived(r, c.began), c
-	c.sent = true
+	c.sent, c.extra = true, 0
 	c.ticket = f.core.Submit(q)
 }
 
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -52,9 +52,11 @@
 	// thrown away until the peer closes.
 	opening, ended, leaving, isShut, closed, dirty bool
 
-	events uint32
-	last   *Timer // the end of a connection that was left
-	onFree func()
+	events  uint32
+	stuck   int64  // since when the peer has taken nothing of what is queued; 0: it takes all
+	dropped int    // bytes that came after the connection was left
+	last    *Timer // the end of a connection that was left
+	onFree  func()
 }
 
 func newConn(l *Loop, fd int, limits Limits, opening bool) (*Conn, error) {
@@ -153,6 +155,9 @@
 		c.rearm()
 		return
 	case c.leaving:
+		if c.dropped += n; c.dropped > maxDropped {
+			c.Close(ErrFlood)
+		}
 		return
 	}
 	data := c.loop.scratch[:n]
@@ -204,6 +209,14 @@
 // Peer is the address that the connection was dialled to.
 func (c *Conn) Peer() netip.AddrPort { return c.peer }
 
+// Stuck is for how long the peer has taken nothing of what is queued for it.
+func (c *Conn) Stuck() int64 {
+	if c.stuck == 0 {
+		return 0
+	}
+	return c.loop.now - c.stuck
+}
+
 // IsClosed tells whether the descriptor has been given back.
 func (c *Conn) IsClosed() bool { return c.closed }
 
@@ -212,6 +225,9 @@
 		n, err := unix.SendmsgN(c.fd, c.out, nil, nil, unix.MSG_NOSIGNAL)
 		switch {
 		case err == unix.EAGAIN:
+			if c.stuck == 0 {
+				c.stuck = c.loop.now
+			}
 			c.rearm()
 			return
 		case err == unix.EINTR:
@@ -219,7 +235,7 @@
 			c.Close(fmt.Errorf("write: %w", err))
 			return
 		default:
-			c.out = c.out[:copy(c.out, c.out[n:])]
+			c.out, c.stuck = c.out[:copy(c.out, c.out[n:])], 0
 		}
 	}
 	if c.closed {
@@ -253,6 +269,7 @@
 const (
 	flushWithin = 10_000_000 // a connection that was left has so long to be rid of what is queued
 	lingerFor   = 500_000    // and its peer so long to close after that
+	maxDropped  = 1 << 20    // a peer that goes on sending is not listened to for as long
 )
 
 // Leave sends what is queued, shuts the own side and closes when the peer does, or after a while. Closing at once
--- a/internal/loop/listen.go
+++ b/internal/loop/listen.go
@@ -67,6 +67,8 @@
 			ln.pause()
 			if ln.full != nil {
 				ln.full()
+				// Nobody may have had to make room now, and nothing else may come to an end by itself.
+				ln.loop.After(acceptRest, ln.look)
 			}
 			return
 		}
@@ -112,6 +114,14 @@
 // SetLimits bounds the buffers of connections that are accepted from now on.
 func (ln *Listener) SetLimits(limits Limits) { ln.limits = limits }
 
+// look asks for room again while others wait for their places.
+func (ln *Listener) look() {
+	if ln.paused && ln.fd >= 0 {
+		ln.paused = false
+		ln.loop.rewatch(ln.fd, unix.EPOLLIN)
+	}
+}
+
 func (ln *Listener) pause() {
 	if !ln.paused {
 		ln.paused = true
--- a/internal/scenario/platform.go
+++ b/internal/scenario/platform.go
@@ -19,11 +19,14 @@
 )
 
 // Balancer is a FastCGI client. It sends `ID CLASS [key=K] [body=B] [age=MS] [keep=no] [FIELD=VALUE]`, where fields are
-// parameters under their CGI names, `abort ID`, `health`, or `raw HEX`. It sees `ID STATUS BODY`, with come-back
-// before the body of a refusal that says when to, and `gone` when its connection ends.
+// parameters under their CGI names, `abort ID`, `stdin ID BYTES`, `health`, or `raw HEX`. It sees `ID STATUS BODY`, with come-back
+// before the body of a refusal that says when to, and `gone` when its connection ends. It then takes a new one.
 type Balancer struct {
 	*Seen
+	addr  string
+	mu    sync.Mutex
 	conn  net.Conn
+	ended bool
 	chop  bool
 	parts map[uint16][]byte
 }
@@ -31,16 +34,24 @@
 // NewBalancer connects to a runner. One that chops writes a byte at a time.
 func NewBalancer(t testing.TB, addr string, chop bool) *Balancer {
 	t.Helper()
-	conn, err := net.Dial("tcp", addr)
-	if err != nil {
+	b := &Balancer{Seen: newSeen(), addr: addr, chop: chop}
+	if err := b.dial(); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { conn.Close() })
-	b := &Balancer{Seen: newSeen(), conn: conn, chop: chop, parts: map[uint16][]byte{}}
-	go b.read()
+	t.Cleanup(func() { b.Close() })
 	return b
 }
 
+func (b *Balancer) dial() (err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.conn, err = net.Dial("tcp", b.addr); err == nil {
+		b.ended, b.parts = false, map[uint16][]byte{}
+		go b.read(b.conn)
+	}
+	return err
+}
+
 // Close implements Actor.
 func (b *Balancer) Close() error { return b.conn.Close() }
 
@@ -62,6 +73,13 @@
 			return err
 		}
 		return b.write(fastcgi.Append(nil, fastcgi.AbortRequest, uint16(id), nil))
+	case "stdin":
+		id, _ := strconv.Atoi(words[1])
+		size, err := strconv.Atoi(words[2])
+		if err != nil {
+			return err
+		}
+		return b.write(fastcgi.Append(nil, fastcgi.Stdin, uint16(id), make([]byte, size)))
 	case "health":
 		return b.write(b.request(99, map[string]string{"SCRIPT_NAME": "/alive", "REQUEST_METHOD": "GET"}, "", true))
 	}
@@ -96,6 +114,14 @@
 }
 
 func (b *Balancer) write(p []byte) error {
+	b.mu.Lock()
+	ended := b.ended
+	b.mu.Unlock()
+	if ended {
+		if err := b.dial(); err != nil {
+			return err
+		}
+	}
 	step := len(p)
 	if b.chop {
 		step = 1
@@ -108,18 +134,22 @@
 	return nil
 }
 
-func (b *Balancer) read() {
+func (b *Balancer) read(conn net.Conn) {
 	var in []byte
 	buf := make([]byte, 4096)
 	for {
-		n, err := b.conn.Read(buf)
+		n, err := conn.Read(buf)
 		if err != nil {
+			conn.Close()
+			b.mu.Lock()
+			b.ended = true
+			b.mu.Unlock()
 			b.Note("gone")
 			return
 		}
 		in = append(in, buf[:n]...)
 		for {
-			rec, used, err := fastcgi.Read(in)
+			rec, used, err := fastcgi.Read(in, fastcgi.MaxRecord)
 			if err != nil || used == 0 {
 				break
 			}
@@ -151,7 +181,7 @@
 }
 
 // Engine is a stand-in for the platform's engine. It sees `RUN ID CLASS BODY`, `FEED ID BODY` and `ATTACH NO`, sends
-// `done ID STATUS RESULT`, `need ID BODY` and `lost` (a notice that is kept but not written), and answers gauges by
+// `done ID STATUS RESULT`, `need ID BODY`, `no ID COMMAND` and `lost` (a notice that is kept but not written), and answers gauges by
 // itself. Close breaks the link; `deaf` has it swallow what comes until then.
 type Engine struct {
 	*Seen
@@ -211,6 +241,9 @@
 	defer e.mu.Unlock()
 	m := map[string]any{"no": len(e.notices) + 1}
 	switch words[0] {
+	case "no":
+		_, err := fmt.Fprintf(e.link, `{"t":"NO","status":%q,"rid":%q}`+"\n", words[2], CallID(words[1]))
+		return err
 	case "deaf":
 		e.deaf = true
 		return nil
