--- a/cmd/ryepaddle/main_test.go
+++ b/cmd/ryepaddle/main_test.go
@@ -366,6 +366,21 @@
 			engine expect FEED 1 row
 			engine send done 1 fine graded
 			balancer expect 1 200 graded`},
+		// The copy was taken for the reply to the next call on the connection, and fed to another run.
+		"what comes behind a reply belongs to no call": {"", `
+			balancer send 1 quick-check
+			engine expect RUN 1 quick-check
+			engine send need 1 select
+			backend expect call 1 select
+			backend send twice 200 row
+			engine expect FEED 1 row
+			balancer send 2 quick-check
+			engine expect RUN 2 quick-check
+			engine send need 2 select
+			backend expect call 2 select
+			backend send 200 other
+			engine expect FEED 2 other
+			engine expect nothing`},
 		"only proof lets the call of a hand-in be placed again": {"", `
 			balancer send 1 hand-in key=a
 			engine expect RUN 1 hand-in
--- a/controller_test.go
+++ b/controller_test.go
@@ -180,6 +180,24 @@
 }
 
 // Calls that take longer the more there are must be held back.
+// A reply that never came held its place in the share to the request's due time, and the one wait of many seconds made
+// the dependency look crowded.
+func TestSilentCallIsGivenUpAndPlacedAgain(t *testing.T) {
+	h := newHand(t, nil)
+	h.calls(1, 20, 30*ms)
+	h.at(0, h.ask(100, 0))
+	a := h.want(h.at(0, Event{Kind: EventBlocked, Request: 100}), ActionCall, 100)
+	if most := time.Duration(callAim * float64(h.ctl.set.Classes[0].Target)); a.For > most {
+		t.Fatalf("waits %v for a reply, where calls take 30ms", a.For)
+	}
+	limit := h.ctl.callLimit
+	h.at(a.For, Event{Kind: EventCalled, Request: 100, Outcome: TimedOut, Elapsed: a.For})
+	h.want(h.gauges(callBackoff+period, 0.5, 1), ActionCall, 100)
+	if h.ctl.callLimit < limit {
+		t.Errorf("limit of calls %v, it was %v", h.ctl.callLimit, limit)
+	}
+}
+
 func TestCrowdedDependencyGetsFewerCalls(t *testing.T) {
 	h := newHand(t, func(s *Settings) { s.CallsOut = 20 })
 	most := h.ctl.callLimit
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -14,8 +14,9 @@
 
 const (
 	maxConns  = 64
-	keepIdle  = 5_000_000 // the back end closes at 10 s; a call that crosses such a close proves nothing
-	sweepIdle = 1_000_000
+	maxIdle   = 8
+	keepIdle  = 2_000_000 // the back end closes at 10 s or earlier; a call that crosses such a close proves nothing
+	sweepIdle = 500_000
 )
 
 // Sink gets the ends of calls.
@@ -48,6 +49,7 @@
 	call *call
 	addr netip.AddrPort // where it leads
 	idle int64          // since when
+	gone bool           // it no longer counts among the open ones
 }
 
 // New makes a pool for the back end at addr.
@@ -84,8 +86,15 @@
 	c := &call{attempt: a, began: p.loop.Now()}
 	p.calls[a] = c
 	c.timer = p.loop.After(patience, func() { p.end(c, core.TimedOut, nil) })
-	if c.conn = p.take(); c.conn != nil {
-		// a connection that stands
+	if a.Safe {
+		c.conn = p.take()
+	} else if p.open >= maxConns {
+		p.drop()
+	}
+	// A connection that was idle may be dead without a sign, and that it breaks under the call proves nothing. Where the
+	// call may be made again that costs a little time; one with an effect would be lost, and gets a fresh connection.
+	if c.conn != nil {
+		// it stands
 	} else if p.open < maxConns {
 		c.conn = &conn{pool: p, addr: p.addr}
 		p.open++
@@ -98,17 +107,31 @@
 	c.conn.lc.Write(request(p.addr.String(), a.Request.Name, patience, body))
 }
 
-// take is the idle connection that was used last, if one still stands.
+// take is the idle connection that was used last, if one still stands. On one that is not quiet, something came behind
+// the last reply; it would be taken for the next.
 func (p *Pool) take() *conn {
 	for n := len(p.idle); n > 0; n = len(p.idle) {
 		c := p.idle[n-1]
-		if p.idle = p.idle[:n-1]; !c.lc.IsClosed() {
+		p.idle = p.idle[:n-1]
+		if c.lc.IsQuiet() {
 			return c
 		}
+		c.lc.Close(errors.New("not quiet while it was idle"))
 	}
 	return nil
 }
 
+// drop closes the connection that was idle for longest.
+func (p *Pool) drop() {
+	if len(p.idle) > 0 {
+		n := p.idle[0]
+		p.idle = p.idle[1:]
+		p.open-- // its place is free from now on
+		n.gone = true
+		n.lc.Close(nil)
+	}
+}
+
 // request writes a call. The wait is stated in whole milliseconds, not longer than it is.
 func request(host, name string, patience int64, body []byte) []byte {
 	return fmt.Appendf(nil, "POST /rpc/call HTTP/1.1\r\nHost: %s\r\nParent-Call: %s\r\nDeadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
@@ -152,7 +175,9 @@
 // Closed implements loop.Handler.
 func (n *conn) Closed(err error) {
 	p := n.pool
-	p.open--
+	if !n.gone {
+		p.open--
+	}
 	for i, o := range p.idle {
 		if o == n {
 			p.idle = append(p.idle[:i], p.idle[i+1:]...)
@@ -183,7 +208,8 @@
 	}
 	c := n.call
 	n.call = nil
-	if r.keep && n.addr == n.pool.addr {
+	// What is left over belongs to no call, and the next one's reply would be looked for behind it.
+	if r.keep && used == len(b) && n.addr == n.pool.addr && len(n.pool.idle) < maxIdle {
 		n.idle = n.pool.loop.Now()
 		n.pool.idle = append(n.pool.idle, n)
 	} else {
--- a/internal/backend/http.go
+++ b/internal/backend/http.go
@@ -8,7 +8,8 @@
 	"shalesail/internal/httpmsg"
 )
 
-const maxBody = 1 << 20
+// maxBody bounds what a connection holds: a reply may state any length.
+const maxBody = 64 << 10
 
 // reply is a whole HTTP response.
 type reply struct {
--- a/internal/backend/http_test.go
+++ b/internal/backend/http_test.go
@@ -15,16 +15,19 @@
 		used int
 		keep bool
 	}{
-		"went well":             {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nrowHTTP", core.Fine, 41, true},
-		"closes":                {"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", core.Fine, 57, false},
-		"turned away":           {"HTTP/1.1 503 No\r\nTurned-Away: 1\r\nContent-Length: 0\r\n\r\n", core.TurnedAway, 54, true},
-		"a 503 proves nothing":  {"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", core.Fault, 38, true},
-		"no run waits":          {"HTTP/1.1 409 No\r\nTurned-Away: 1\r\nContent-Length: 0\r\n\r\n", core.NotRun, 54, true},
-		"out of time":           {"HTTP/1.1 504 No\r\nContent-Length: 0\r\n\r\n", core.TimedOut, 38, true},
-		"failed":                {"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", core.Fault, 38, true},
-		"a part of the body":    {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nro", 0, 0, false},
-		"a body to the end":     {"HTTP/1.1 200 OK\r\n\r\nrow", 0, 0, false},
-		"a body over its limit": {"HTTP/1.1 200 OK\r\nContent-Length: 9999999\r\n\r\n", 0, -1, false},
+		"went well":              {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nrowHTTP", core.Fine, 41, true},
+		"closes":                 {"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", core.Fine, 57, false},
+		"turned away":            {"HTTP/1.1 503 No\r\nTurned-Away: 1\r\nContent-Length: 0\r\n\r\n", core.TurnedAway, 54, true},
+		"a 503 proves nothing":   {"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", core.Fault, 38, true},
+		"no run waits":           {"HTTP/1.1 409 No\r\nTurned-Away: 1\r\nContent-Length: 0\r\n\r\n", core.NotRun, 54, true},
+		"out of time":            {"HTTP/1.1 504 No\r\nContent-Length: 0\r\n\r\n", core.TimedOut, 38, true},
+		"failed":                 {"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", core.Fault, 38, true},
+		"a part of the body":     {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nro", 0, 0, false},
+		"a body to the end":      {"HTTP/1.1 200 OK\r\n\r\nrow", 0, 0, false},
+		"a status of two digits": {"HTTP/1.1 20 OK\r\nContent-Length: 0\r\n\r\n", 0, -1, false},
+		"two lengths":            {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nrow", 0, -1, false},
+		"a name with noise":      {"HTTP/1.1 200 OK\r\nX\x01: 1\r\nContent-Length: 0\r\n\r\n", 0, -1, false},
+		"a body over its limit":  {"HTTP/1.1 200 OK\r\nContent-Length: 9999999\r\n\r\n", 0, -1, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r, used, err := readReply([]byte(c.text), false)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -202,7 +202,13 @@
 		log.Printf("engine: link lost: %v", err)
 		k.conn, k.phase = nil, down
 		k.lost()
-		k.loop.After(redialAfter, k.redial)
+		// One that stood is dialled again at once: work goes on there that waits for its calls. One that never came to
+		// stand is left alone for a while.
+		if k.loop.Now()-w.began > redialAfter {
+			k.loop.Post(k.redial)
+		} else {
+			k.loop.After(redialAfter, k.redial)
+		}
 	case k.next:
 		k.next = nil
 		k.loop.After(redialAfter, k.redial)
--- a/internal/httpmsg/httpmsg.go
+++ b/internal/httpmsg/httpmsg.go
@@ -64,13 +64,13 @@
 	proto, rest, _ := strings.Cut(lines[0], " ")
 	code, _, _ := strings.Cut(rest, " ")
 	status, err := strconv.Atoi(code)
-	if err != nil || proto != "HTTP/1.0" && proto != "HTTP/1.1" || status < 100 || status > 599 {
+	if err != nil || len(code) != 3 || proto != "HTTP/1.0" && proto != "HTTP/1.1" || status < 100 || status > 599 {
 		return nil, fmt.Errorf("status line %q", lines[0])
 	}
 	h := &Head{Proto: proto, Status: status, Length: -1}
 	for _, line := range lines[1:] {
 		name, value, ok := strings.Cut(line, ":")
-		if !ok || name == "" || strings.ContainsAny(name, " \t") {
+		if !ok || name == "" || strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r >= 0x7f }) {
 			return nil, fmt.Errorf("header %q", line)
 		}
 		f := Field{name, strings.Trim(value, " \t")}
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -206,6 +206,16 @@
 	}
 }
 
+// IsQuiet tells whether the connection stands, and nothing has come on it that was not read.
+func (c *Conn) IsQuiet() bool {
+	if c.closed || c.ended || len(c.in) > 0 {
+		return false
+	}
+	var b [1]byte
+	_, _, err := unix.Recvfrom(c.fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return err == unix.EAGAIN
+}
+
 // Peer is the address that the connection was dialled to.
 func (c *Conn) Peer() netip.AddrPort { return c.peer }
 
--- a/internal/scenario/platform.go
+++ b/internal/scenario/platform.go
@@ -301,7 +301,7 @@
 	}
 }
 
-// Backend is a stand-in for the back end. It sees `call ID BODY`, and sends `STATUS BODY`, `away STATUS` (with
+// Backend is a stand-in for the back end. It sees `call ID BODY`, and sends `STATUS BODY`, `twice STATUS BODY` (a second copy behind the first), `away STATUS` (with
 // Turned-Away) or `break` to the oldest call.
 type Backend struct {
 	*Seen
@@ -341,8 +341,16 @@
 		case "away":
 			fmt.Fprintf(c, "HTTP/1.1 %s Away\r\nTurned-Away: 1\r\nContent-Length: 0\r\n\r\n", words[1])
 		default:
+			again := words[0] == "twice"
+			if again {
+				words = words[1:]
+			}
 			text := strings.Join(words[1:], " ")
-			fmt.Fprintf(c, "HTTP/1.1 %s X\r\nContent-Length: %d\r\n\r\n%s", words[0], len(text), text)
+			reply := fmt.Sprintf("HTTP/1.1 %s X\r\nContent-Length: %d\r\n\r\n%s", words[0], len(text), text)
+			if again {
+				reply += reply
+			}
+			io.WriteString(c, reply)
 		}
 	}
 }
