--- a/cmd/ryepaddle/main.go
+++ b/cmd/ryepaddle/main.go
@@ -126,7 +126,7 @@
 	var err error
 	r.core, err = core.New(cfg.Settings, cfg.Seed, core.Host{
 		Now: l.Now, Unix: l.Unix,
-		After:  func(d int64, fn func()) { l.After(d, fn) },
+		After:  func(d int64, fn func()) func() { return l.After(d, fn).Stop },
 		Gauges: r.link.Gauges,
 		Health: r.health,
 		Say:    r.front.SetPressure,
--- a/controller.go
+++ b/controller.go
@@ -37,7 +37,7 @@
 	callFew      = 10    // calls: a best is taken from no fewer, or one short first call would be it for good
 	callSlots    = 0.2   // of the stated share: what the dependency works on at once
 	callSilent   = 10.0  // mean times of a call: one that is out for longer, and for callAim, never comes back
-	callAim      = 0.75   // of the aim
+	callAim      = 0.75  // of the aim
 	callCount    = 4.0   // mean times: for no more does one count that was given up
 	maxCalls     = 6     // tries of one call: the layer below may have lost a third of its servers
 	sayStep      = 0.02  // of the value last sent: smaller moves are not sent
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -150,7 +150,7 @@
 type Host struct {
 	Now    func() int64 // monotonic, above 0
 	Unix   func() int64
-	After  func(d int64, fn func())
+	After  func(d int64, fn func()) (stop func())
 	Gauges func(func(Gauges))            // measures, and then calls back once
 	Health func(stored, good bool)       // how health checks are to be answered
 	Say    func(value float64)           // the free value that goes with every answer from now on
@@ -179,6 +179,7 @@
 	calling  bool
 	entry    *entry // of its key
 	waits    bool   // for the result of another try
+	stop     func() // ends the timer of its front's deadline, which would hold all of it until then
 }
 
 // Core is the request table.
@@ -291,7 +292,7 @@
 		// The module takes the time that is left for a sign of the try's age, and shorter ones for further tries. It
 		// goes by the class's deadline, and the shorter one is kept here.
 		r.due = min(r.due, now-queued+q.Due)
-		c.host.After(r.due-now, func() { c.expire(r) })
+		r.stop = c.host.After(r.due-now, func() { c.expire(r) })
 	}
 	if class.Effect == shalesail.Keyed && r.entry == nil && c.keys.full() {
 		c.host.Log("core: the table of keys is full, %s refused", class.Name)
@@ -606,6 +607,9 @@
 	if r.answered && r.running == nil {
 		delete(c.requests, r.id)
 		delete(c.names, r.Name)
+		if r.stop != nil {
+			r.stop()
+		}
 	}
 }
 
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -16,16 +17,18 @@
 // [RESULT]`, `call ID` and `give-up ID`.
 type table struct {
 	*Core
-	now    int64
-	timers []timer
-	runs   map[string]*Attempt
-	ids    map[string]Ticket
-	seen   []string
+	now       int64
+	timers    []timer
+	lastTimer int
+	runs      map[string]*Attempt
+	ids       map[string]Ticket
+	seen      []string
 }
 
 type timer struct {
 	at int64
 	fn func()
+	n  int
 }
 
 type asker struct {
@@ -101,6 +104,13 @@
 	return nil
 }
 
+func (t *table) after(d int64, fn func()) (stop func()) {
+	t.lastTimer++
+	n := t.lastTimer
+	t.timers = append(t.timers, timer{t.now + d, fn, n})
+	return func() { t.timers = slices.DeleteFunc(t.timers, func(v timer) bool { return v.n == n }) }
+}
+
 func (t *table) pass(d int64) {
 	for end := t.now + d; ; {
 		next := -1
@@ -133,7 +143,7 @@
 	clock := func() int64 { return c.now }
 	var err error
 	c.Core, err = New(s, 1, Host{Now: clock, Unix: clock, Health: func(_, _ bool) {}, Say: func(float64) {}, Trim: func(int64) {},
-		After:  func(d int64, fn func()) { c.timers = append(c.timers, timer{c.now + d, fn}) },
+		After:  c.after,
 		Gauges: func(fn func(Gauges)) { fn(NoGauges()) },
 		Route:  func(int) Runner { return c }, Tries: func(int) int { return tries }, Below: c, Log: t.Logf})
 	if err != nil {
@@ -277,6 +287,10 @@
 					open++
 				}
 			}
+			// Each request has a timer of the front's deadline at most, beside the one look round.
+			if len(c.timers) > 1+len(c.requests) || len(c.names) != len(c.requests) {
+				t.Errorf("%d timers, %d names, %d requests", len(c.timers), len(c.names), len(c.requests))
+			}
 			if open != c.Open() {
 				t.Errorf("%d requests are open, %d by the count", open, c.Open())
 			}
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -109,7 +109,8 @@
 		c.finishConnect()
 		return
 	}
-	if events&unix.EPOLLERR != 0 {
+	// What a server said before it reset the connection still counts; what a caller asked for before that does not.
+	if events&unix.EPOLLERR != 0 && (events&unix.EPOLLIN == 0 || c.ended || !c.peer.IsValid()) {
 		errno, _ := unix.GetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_ERROR)
 		c.Close(fmt.Errorf("connection broke: %w", unix.Errno(errno)))
 		return
