Tell a lost reply by the later calls that overtake it, in the pool instead of the module

A trace of the module showed 4 or 5 calls in hand with 20 others in line, callMean at 30 to 45 ms where calls take 16, and the limit cut from 14.7 to 3.7 for it: each silence held a place for 0.75 of the aim and then counted as four mean times.

At fault: a time limit alone, in the module.

Now: the pool gives a call up once 8 later ones were replied to and 8 mean times are over (16 where it may not be made again). Where the back end itself is slow its later calls are slow too, and none is overtaken. It counts as broken: it may have run.

--- a/controller.go
+++ b/controller.go
@@ -36,9 +36,6 @@
 	callForget   = 1.002 // a period: the best mean is forgotten by 2% a second
 	callFew      = 10    // calls: a best is taken from no fewer, or one short first call would be it for good
 	callSlots    = 0.2   // of the stated share: what the dependency works on at once
-	callSilent   = 10.0  // mean times of a call: one that is out for longer, and for callAim, never comes back
-	callAim      = 0.75  // of the aim
-	callCount    = 4.0   // mean times: for no more does one count that was given up
 	maxCalls     = 6     // tries of one call: the layer below may have lost a third of its servers
 	sayStep      = 0.02  // of the value last sent: smaller moves are not sent
 	learn        = 0.1   // weight of a new run or call in its mean
@@ -80,7 +77,7 @@
 	class, tries, sharers    int // sharers: how many wait for its result
 	state                    state
 	answered, ran, kept      bool
-	walked, read, silent     bool     // silent: its call is given up as one that never comes back
+	walked, read             bool
 	origin                   *request // whose result it waits for
 	arrived, due, aim, began time.Duration
 	callAt, keptTo           time.Duration // no call before the one, key remembered to the other
@@ -765,13 +762,6 @@
 		patience := max(2*c.callTime-c.set.Linger.Seconds(), c.callTime)
 		end = min(end, c.now+time.Duration(patience*float64(time.Second)))
 	}
-	r.silent = false
-	// A reply that never comes must not hold its place to the request's end. Where all are slow there is hope.
-	if c.calls >= callFew && c.callMean <= callSlow*c.callBest {
-		longest := max(callSilent*c.callMean, callAim*class.Target.Seconds())
-		silent := c.now + time.Duration(longest*float64(time.Second))
-		r.silent, end = silent < end, min(end, silent)
-	}
 	r.state = calling
 	r.tries++
 	c.inHand++
@@ -794,11 +784,9 @@
 		return
 	}
 	proven := e.Outcome == Full || e.Outcome == Unreachable || e.Outcome == Moot
-	if took := e.Elapsed.Seconds(); !proven { // a call turned away at once is not a fast one
+	// A call turned away at once is not a fast one, and one that broke does not tell how long calls take.
+	if took := e.Elapsed.Seconds(); !proven && e.Outcome != Broken {
 		c.calls++
-		if e.Outcome == TimedOut && r.silent { // one silence tells little of how long calls take
-			took = min(took, callCount*c.callMean)
-		}
 		c.callMean += max(learn, 1/c.calls) * (took - c.callMean)
 	}
 	if e.Outcome == OK {
@@ -811,7 +799,7 @@
 		c.linger()
 	}
 	again := r.tries < maxCalls && (proven || c.set.Classes[r.class].Effect == Safe)
-	if !again || e.Outcome == TimedOut && !r.silent {
+	if !again || e.Outcome == TimedOut {
 		c.without(r)
 		return
 	}
--- a/controller_test.go
+++ b/controller_test.go
@@ -180,21 +180,17 @@
 }
 
 // Calls that take longer the more there are must be held back.
-// A reply that never came held its place in the share to the request's due time, and the one wait of many seconds made
-// the dependency look crowded.
-func TestSilentCallIsGivenUpAndPlacedAgain(t *testing.T) {
+// A call that was cut off after a long silence made the dependency look crowded, and the others stood in line.
+func TestBrokenCallDoesNotLookLikeCrowding(t *testing.T) {
 	h := newHand(t, nil)
 	h.calls(1, 20, 30*ms)
+	mean, limit := h.ctl.callMean, h.ctl.callLimit
 	h.at(0, h.ask(100, 0))
-	a := h.want(h.at(0, Event{Kind: EventBlocked, Request: 100}), ActionCall, 100)
-	if most := time.Duration(callAim * float64(h.ctl.set.Classes[0].Target)); a.For > most {
-		t.Fatalf("waits %v for a reply, where calls take 30ms", a.For)
-	}
-	limit := h.ctl.callLimit
-	h.at(a.For, Event{Kind: EventCalled, Request: 100, Outcome: TimedOut, Elapsed: a.For})
+	h.want(h.at(0, Event{Kind: EventBlocked, Request: 100}), ActionCall, 100)
+	h.at(800*ms, Event{Kind: EventCalled, Request: 100, Outcome: Broken, Elapsed: 800 * ms})
 	h.want(h.gauges(callBackoff+period, 0.5, 1), ActionCall, 100)
-	if h.ctl.callLimit < limit {
-		t.Errorf("limit of calls %v, it was %v", h.ctl.callLimit, limit)
+	if h.ctl.callMean != mean || h.ctl.callLimit < limit {
+		t.Errorf("mean %v, limit %v; they were %v and %v", h.ctl.callMean, h.ctl.callLimit, mean, limit)
 	}
 }
 
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -32,14 +32,18 @@
 	calls map[*core.Attempt]*call
 	idle  []*conn // the one used last is at the end
 	open  int
+	last  int64   // number of the last call
+	mean  float64 // microseconds that a call took of late
 }
 
 // call is one call that is out.
 type call struct {
-	attempt *core.Attempt
-	began   int64
-	timer   *loop.Timer
-	conn    *conn
+	attempt   *core.Attempt
+	number    int64
+	began     int64
+	overtaken int // replies to later calls that came before its own
+	timer     *loop.Timer
+	conn      *conn
 }
 
 // conn is a connection with at most one call on it.
@@ -83,7 +87,8 @@
 // Call implements core.Dependency.
 func (p *Pool) Call(a *core.Attempt, body []byte, patience int64) {
 	p.GiveUp(a)
-	c := &call{attempt: a, began: p.loop.Now()}
+	p.last++
+	c := &call{attempt: a, number: p.last, began: p.loop.Now()}
 	p.calls[a] = c
 	c.timer = p.loop.After(patience, func() { p.end(c, core.TimedOut, nil) })
 	if a.Safe {
@@ -216,9 +221,46 @@
 		n.lc.Close(nil)
 	}
 	n.pool.end(c, outcome(r), r.body)
+	n.pool.replied(c)
 	return used, nil
 }
 
+// What tells a reply that never comes from one that is slow.
+const (
+	overtakenBy = 8 // later calls were replied to
+	slowTimes   = 8 // so many mean times of a call
+	effectTimes = 2 // both longer for a call that may not be made again
+	learn       = 0.05
+)
+
+// replied notes that a call came back, and gives up earlier ones that must have been lost on the way. Each of them
+// would hold a place in the share of the back end to its request's due time, and the rest would stand in line. Where
+// the back end itself is slow, its later calls are as slow, and none is overtaken.
+func (p *Pool) replied(by *call) {
+	if took := float64(p.loop.Now() - by.began); p.mean == 0 {
+		p.mean = took
+	} else {
+		p.mean += learn * (took - p.mean)
+	}
+	var lost []*call
+	for _, c := range p.calls {
+		if c.number > by.number {
+			continue
+		}
+		times := 1
+		if !c.attempt.Safe {
+			times = effectTimes
+		}
+		c.overtaken++
+		if c.overtaken >= overtakenBy*times && float64(p.loop.Now()-c.began) > p.mean*float64(slowTimes*times) {
+			lost = append(lost, c)
+		}
+	}
+	for _, c := range lost { // it may have run
+		p.end(c, core.Broken, nil)
+	}
+}
+
 func outcome(r reply) core.Outcome {
 	switch {
 	case r.status == 200:
--- /dev/null
+++ b/internal/backend/backend_test.go
@@ -0,0 +1,70 @@
+package backend
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"shalesail/internal/core"
+	"shalesail/internal/loop"
+	"shalesail/internal/scenario"
+)
+
+// calls is a sink that places one call after another, until the first one ends or there were many.
+type calls struct {
+	t     *testing.T
+	loop  *loop.Loop
+	pool  *Pool
+	stand *scenario.Backend
+	first *core.Attempt
+	got   core.Outcome
+	n     int
+}
+
+func (c *calls) Called(a *core.Attempt, o core.Outcome, _ []byte, _ int64) {
+	if a == c.first {
+		c.got = o
+	}
+	if a == c.first || c.n == 1000 {
+		c.loop.Stop()
+		return
+	}
+	c.place("200 row")
+}
+
+func (c *calls) place(reply string) *core.Attempt {
+	c.n++
+	a := &core.Attempt{Request: &core.Request{Name: scenario.CallID("1")}, Safe: true}
+	c.pool.Call(a, nil, 60_000_000)
+	scenario.Play(c.t, "backend send "+reply, map[string]scenario.Actor{"backend": c.stand})
+	return a
+}
+
+// A reply that never came held its call to the request's due time, and its place in the share of the back end with it.
+func TestCallThatOthersOvertakeIsGivenUp(t *testing.T) {
+	l, err := loop.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	c := &calls{t: t, loop: l, stand: scenario.NewBackend(t)}
+	c.pool = New(l, netip.MustParseAddrPort(c.stand.Listener.Addr().String()))
+	c.pool.Start(c)
+	c.first = c.place("never")
+	var next func()
+	next = func() {
+		if c.stand.Waiting() > 0 { // the first call must have its answer, which is none
+			l.After(1000, next)
+			return
+		}
+		c.place("200 row")
+	}
+	next()
+	l.After((20 * time.Second).Microseconds(), l.Stop)
+	if err := l.Run(); err != nil {
+		t.Fatal(err)
+	}
+	if c.got != core.Broken || c.n < overtakenBy {
+		t.Errorf("outcome %v after %d calls", c.got, c.n)
+	}
+}
--- a/internal/scenario/platform.go
+++ b/internal/scenario/platform.go
@@ -302,7 +302,8 @@
 }
 
 // Backend is a stand-in for the back end. It sees `call ID BODY`, and sends `STATUS BODY`, `twice STATUS BODY` (a second copy behind the first), `away STATUS` (with
-// Turned-Away) or `break` to the oldest call.
+// Turned-Away) `break` or `never` (nothing until the
+// caller closes) to the oldest call.
 type Backend struct {
 	*Seen
 	Listener net.Listener
@@ -322,6 +323,9 @@
 	return nil
 }
 
+// Waiting is how many replies no call has taken yet.
+func (b *Backend) Waiting() int { return len(b.replies) }
+
 // Close implements Actor. From then on connections are refused.
 func (b *Backend) Close() error { return b.Listener.Close() }
 
@@ -338,6 +342,9 @@
 		switch words[0] {
 		case "break":
 			return
+		case "never":
+			io.Copy(io.Discard, r)
+			return
 		case "away":
 			fmt.Fprintf(c, "HTTP/1.1 %s Away\r\nTurned-Away: 1\r\nContent-Length: 0\r\n\r\n", words[1])
 		default:
