Place calls that wait by the worth still to be had, and free the place of one that broke

A trace of the module, every half second: with the limit at its floor of 2.67 calls, 0 to 2 were in hand and 2 to 4 "lingered", though these had been reset by the back end after they ran; 15 to 24 requests stood in line for up to 0.9 s where the aim is 0.68 s, in the order in which they came, so that nearly every call that was placed was for a request that was late already; the wait of the oldest of those held the credit at 0.03 a caller while the cores were idle at 0.25.

At fault: called (linger after Broken), placeCalls (first come first served), callWait (the oldest, even if it is late).

Now: a call that broke lingers no longer; calls are placed for those that can still meet their aim first, by worth, then for late ones, the latest read first, and not at all where the time left is shorter than a call; the wait that counts as a jam is that of the oldest that may still be in time.

--- a/controller.go
+++ b/controller.go
@@ -34,6 +34,7 @@
 	callSlow     = 2.0   // best mean times of a call: past it the dependency is crowded
 	callCut      = 0.9   // a period: how fast a crowded dependency is given room
 	callForget   = 1.002 // a period: the best mean is forgotten by 2% a second
+	callLate     = 1e-6  // of worth, for each second left: the order of requests that are late
 	callFew      = 10    // calls: a best is taken from no fewer, or one short first call would be it for good
 	callSlots    = 0.2   // of the stated share: what the dependency works on at once
 	maxCalls     = 6     // tries of one call: the layer below may have lost a third of its servers
@@ -711,10 +712,10 @@
 	}
 }
 
-// callWait is how long the first call that waits for its turn has waited.
+// callWait is how long the oldest call that may still be in time has waited for its turn.
 func (c *Controller) callWait() time.Duration {
 	for _, r := range c.callLine {
-		if r.state == blocked && !r.answered {
+		if r.state == blocked && !r.answered && r.aim > c.now {
 			return c.now - r.callAt
 		}
 	}
@@ -730,21 +731,37 @@
 // calls stand in line, which the cpu gauge does not show.
 func (c *Controller) full(class int) bool { return c.cpu > busyCPU || c.jammed(class) }
 
-// placeCalls places the calls that wait, in order, as far as the share of the dependency goes.
+// placeCalls places the calls that wait as far as the share of the dependency goes: first those whose requests can
+// still be served in their aim, by worth, then the others. In the order in which they came, each of them would be
+// late by the time that the line takes.
 func (c *Controller) placeCalls() {
-	n := 0
-	for _, r := range c.callLine {
-		if r.state != blocked || r.answered {
-			continue
+	c.callLine = slices.DeleteFunc(c.callLine, func(r *request) bool { return r.state != blocked || r.answered })
+	for c.mayCall() {
+		best, most := -1, 0.0
+		for i, r := range c.callLine {
+			if w := c.callWorth(r); r.callAt <= c.now && w > most {
+				best, most = i, w
+			}
 		}
-		if r.callAt > c.now || !c.mayCall() {
-			c.callLine[n] = r
-			n++
-			continue
+		if best < 0 {
+			return
 		}
+		r := c.callLine[best]
+		c.callLine = slices.Delete(c.callLine, best, best+1)
 		c.call(r)
 	}
-	c.callLine = c.callLine[:n]
+}
+
+// callWorth is what a request is worth that waits for a call. Of those that are late the latest read has most hope.
+func (c *Controller) callWorth(r *request) float64 {
+	class, back := &c.set.Classes[r.class], c.now+time.Duration(c.callMean*float64(time.Second))
+	switch {
+	case back <= r.aim:
+		return class.Worth
+	case back > r.due-guardTime && c.callMean < c.callStock:
+		return 0
+	}
+	return class.Worth*class.LateWorth + callLate*(1+max(r.due-c.now, 0).Seconds())
 }
 
 // call places one call, with patience to the end of the request's time or of the worth without the call.
@@ -795,7 +812,7 @@
 	}
 	c.inHand--
 	r.state = blocked
-	if e.Outcome == TimedOut || e.Outcome == Broken {
+	if e.Outcome == TimedOut { // one that broke was dropped by the dependency itself, and is in its hands no more
 		c.linger()
 	}
 	again := r.tries < maxCalls && (proven || c.set.Classes[r.class].Effect == Safe)
