--- a/controller.go
+++ b/controller.go
@@ -35,6 +35,8 @@
 	callCut      = 0.9   // a period: how fast a crowded dependency is given room
 	callForget   = 1.002 // a period: the best mean is forgotten by 2% a second
 	callLate     = 1e-6  // of worth, for each second left: the order of requests that are late
+	callAhead    = 0.07  // of the aim: what would stand in line for a call for longer is refused at reading
+	idlePool     = 3.0   // credits for each core: the least while calls stand in line and the cores are free
 	callFew      = 10    // calls: a best is taken from no fewer, or one short first call would be it for good
 	callSlots    = 0.2   // of the stated share: what the dependency works on at once
 	maxCalls     = 6     // tries of one call: the layer below may have lost a third of its servers
@@ -181,8 +183,8 @@
 	return out
 }
 
-// Configure takes changed settings while the server runs. Its classes, tenants and cores have to be those it began
-// with, since what it holds and has learned goes by them.
+// Configure takes changed settings while the server runs. Its classes, tenants and cores have to be those
+// it began with, since what it holds and has learned goes by them.
 func (c *Controller) Configure(s Settings) error {
 	fresh, err := New(s, 0)
 	if err != nil {
@@ -190,10 +192,11 @@
 	}
 	same := func(a, b Class) bool { return a.Name == b.Name && a.Effect == b.Effect }
 	named := func(a, b Tenant) bool { return a.Name == b.Name }
-	if !slices.EqualFunc(s.Classes, c.set.Classes, same) || !slices.EqualFunc(s.Tenants, c.set.Tenants, named) ||
-		s.Cores != c.set.Cores || s.KeyKB != c.set.KeyKB || s.RunFactor != c.set.RunFactor ||
+	if !slices.EqualFunc(s.Classes, c.set.Classes, same) ||
+		!slices.EqualFunc(s.Tenants, c.set.Tenants, named) || s.Cores != c.set.Cores ||
+		s.KeyKB != c.set.KeyKB || s.RunFactor != c.set.RunFactor ||
 		s.CreditMode != c.set.CreditMode || s.Dependency != c.set.Dependency {
-		return fmt.Errorf("shalesail: another set of classes, tenants, cores, or another way of working needs a restart")
+		return fmt.Errorf("shalesail: other classes, tenants, cores or another way of working need a restart")
 	}
 	s.Cold = c.set.Cold // it tells of the start
 	c.set, c.callMost, c.callStock = s, fresh.callMost, fresh.callStock
@@ -290,6 +293,7 @@
 
 // admit refuses an arrival past twice the delay target, without hope, or past a tenant's share under load.
 func (c *Controller) admit(r *request, e *Event) {
+	class := &c.set.Classes[r.class]
 	delay, target := c.delay(r.class), c.target(r.class)
 	delay = max(delay, c.now-r.arrived)
 	c.further *= 1 - furtherLearn
@@ -300,6 +304,9 @@
 		target = time.Duration(retryShare * max(1-c.further/stormShare, 0) * float64(target))
 	}
 	switch {
+	// The dependency is the same wherever a caller walks to. What needs none of it is to come all the same.
+	case class.Calls && !(c.cpu > busyCPU) && float64(c.ahead(r.class)) > callAhead*float64(class.Target):
+		c.refuse(r, 0, true)
 	case c.full(r.class) && float64(delay) > refuseAt*float64(target):
 		c.refuse(r, delay-target, r.walked || c.further > fewShare)
 	case c.full(r.class) && c.hopeless(r):
@@ -722,6 +729,17 @@
 	return 0
 }
 
+// ahead is how long a call of the class would wait for its turn behind those that go before it.
+func (c *Controller) ahead(class int) time.Duration {
+	n, worth := 0, c.set.Classes[class].Worth
+	for _, r := range c.callLine {
+		if r.state == blocked && !r.answered && r.aim > c.now && c.set.Classes[r.class].Worth >= worth {
+			n++
+		}
+	}
+	return time.Duration(float64(n) * c.callMean / c.callLimit * float64(time.Second))
+}
+
 // jammed reports that requests of a class would stand in line for the dependency; others need not wait.
 func (c *Controller) jammed(class int) bool {
 	return c.set.Classes[class].Calls && c.callWait() > callJam
@@ -731,11 +749,12 @@
 // calls stand in line, which the cpu gauge does not show.
 func (c *Controller) full(class int) bool { return c.cpu > busyCPU || c.jammed(class) }
 
-// placeCalls places the calls that wait as far as the share of the dependency goes: first those whose requests can
-// still be served in their aim, by worth, then the others. In the order in which they came, each of them would be
-// late by the time that the line takes.
+// placeCalls places the calls that wait as far as the share of the dependency goes: first those whose
+// requests can still be served in their aim, by worth, then the others. In the order in which they came,
+// each of them would be late by the time that the line takes.
 func (c *Controller) placeCalls() {
-	c.callLine = slices.DeleteFunc(c.callLine, func(r *request) bool { return r.state != blocked || r.answered })
+	over := func(r *request) bool { return r.state != blocked || r.answered }
+	c.callLine = slices.DeleteFunc(c.callLine, over)
 	for c.mayCall() {
 		best, most := -1, 0.0
 		for i, r := range c.callLine {
@@ -752,7 +771,7 @@
 	}
 }
 
-// callWorth is what a request is worth that waits for a call. Of those that are late the latest read has most hope.
+// callWorth is what a request is worth that waits for a call. Of late ones the latest read has most hope.
 func (c *Controller) callWorth(r *request) float64 {
 	class, back := &c.set.Classes[r.class], c.now+time.Duration(c.callMean*float64(time.Second))
 	switch {
@@ -812,7 +831,7 @@
 	}
 	c.inHand--
 	r.state = blocked
-	if e.Outcome == TimedOut { // one that broke was dropped by the dependency itself, and is in its hands no more
+	if e.Outcome == TimedOut { // one that broke was dropped by the dependency itself
 		c.linger()
 	}
 	again := r.tries < maxCalls && (proven || c.set.Classes[r.class].Effect == Safe)
@@ -916,7 +935,11 @@
 	c.stepCalls()
 	c.health(longest)
 	if worst >= 0 {
-		c.pool = max(c.pool*max(1-beta*worst, cutFloor), poolFloor)
+		least := poolFloor
+		if !(c.cpu > busyCPU) { // the cores are free: what does not call is still welcome
+			least = idlePool * float64(c.set.Cores)
+		}
+		c.pool = max(c.pool*max(1-beta*worst, cutFloor), least)
 	} else {
 		c.pool = min(c.pool+max(alpha*float64(max(c.heardN, 1)), 1), c.crowd())
 	}
--- a/controller_test.go
+++ b/controller_test.go
@@ -180,6 +180,25 @@
 }
 
 // Calls that take longer the more there are must be held back.
+// While calls stood in line the credit fell to a trickle, and what makes no calls was not sent either, to idle cores.
+func TestJamRefusesWhatCallsAndLeavesRoomForTheRest(t *testing.T) {
+	h := newHand(t, func(s *Settings) { s.CallsOut, s.Classes[2].Calls = 1, false })
+	h.calls(1, 20, 100*ms)
+	for id := uint64(100); id < 104; id++ {
+		h.at(0, h.ask(id, 0))
+		h.at(0, Event{Kind: EventBlocked, Request: id})
+	}
+	out := h.at(ms, h.ask(200, 0), h.ask(201, 2))
+	h.want(out, ActionStart, 201)
+	if a := h.want(out, ActionRefuse, 200); !a.Last || a.For > tick {
+		t.Errorf("refused with %+v: others are as jammed, and this one is not to be stayed away from", a)
+	}
+	h.gauges(900*ms, 0.1, 0)
+	if h.ctl.pool < idlePool*float64(h.ctl.set.Cores) {
+		t.Errorf("pool %v while the cores are idle", h.ctl.pool)
+	}
+}
+
 // In the order in which they came, calls that wait for a crowded dependency were all late by their turn.
 func TestCallsWaitByTheWorthThatIsStillToBeHad(t *testing.T) {
 	h := newHand(t, func(s *Settings) { s.CallsOut, s.Classes[0].OmitWorth = 2, 0 })
