--- a/cmd/ryepaddle/main_test.go
+++ b/cmd/ryepaddle/main_test.go
@@ -17,6 +17,7 @@
 	"testing"
 	"time"
 
+	"shalesail/internal/fastcgi"
 	"shalesail/internal/scenario"
 )
 
@@ -357,6 +358,17 @@
 			balancer send 3 quick-check
 			engine expect RUN 3 quick-check
 			balancer expect nothing`},
+		// The end of a run that was in a notice which did not come was taken for lost for a minute.
+		"a gap in the notices makes the link attach anew": {"", `
+			balancer send 1 quick-check
+			engine expect RUN 1 quick-check
+			other send 2 quick-check
+			engine expect RUN 2 quick-check
+			engine send lost done 1 fine one
+			engine send done 2 fine two
+			engine expect ATTACH 0
+			balancer expect 1 200 one
+			other expect 2 200 two`},
 		"a call goes round": {"", `
 			balancer send 1 hand-in key=a
 			engine expect RUN 1 hand-in
@@ -601,6 +613,47 @@
 		map[string]scenario.Actor{"engine": engine, "balancer": scenario.NewBalancer(t, p.listen["platform"], false)})
 }
 
+// A crowd of silent callers kept all others out of the second front for as long as a request may take to come.
+func TestSilentCallersGiveWay(t *testing.T) {
+	p := launch(t, map[string]any{"engine": "127.0.0.1:1", "backend": "127.0.0.1:1"},
+		"listen: 127.0.0.1:0\nhealth_path: /alive\nlimits: {read_ms: 60000, connections: 4}\n"+toEngine)
+	for range 6 {
+		c, err := net.Dial("tcp", p.listen["uwsgi"])
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	scenario.Play(t, `
+		caller send 1 /alive
+		caller expect 1 200`, map[string]scenario.Actor{"caller": scenario.NewCaller(t, p.listen["uwsgi"])})
+}
+
+// Requests that are begun on many connections and never come to an end took memory without a bound.
+func TestUnfinishedRequestsAreBounded(t *testing.T) {
+	p := launch(t, map[string]any{"engine": "127.0.0.1:1", "backend": "127.0.0.1:1",
+		"limits": map[string]any{"memory_mb": 64, "sockets": 1024}}, "")
+	part := fastcgi.AppendBegin(nil, 1, fastcgi.Begin{Role: fastcgi.Responder, Keep: true})
+	part = fastcgi.Append(part, fastcgi.Params, 1, make([]byte, 8000))
+	for range 400 {
+		c, err := net.Dial("tcp", p.listen["platform"])
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if _, err := c.Write(part); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for range 1000 {
+		if strings.Contains(p.log(), "bytes of requests that do not come whole") {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Error("no connection was closed for them")
+}
+
 // What speaks another protocol, or this one wrongly, costs its own connection and nothing else.
 func TestGarbageCostsOnlyItsConnection(t *testing.T) {
 	actors := world(t, toServers, false)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -12,6 +12,7 @@
 	"strconv"
 
 	"shalesail/internal/core"
+	"shalesail/internal/logs"
 	"shalesail/internal/loop"
 )
 
@@ -107,12 +108,13 @@
 	waiting func() // the module's look round that waits for gauges
 	late    *loop.Timer
 	checks  map[string]func(bool)
+	refused logs.Limit // bad clients make up ids by the hundred
 }
 
 // New makes a link; Start opens it. Meters puts the engine's gauges in their places.
 func New(l *loop.Loop, addr netip.AddrPort, meters func([]float64) core.Gauges) *Link {
 	return &Link{loop: l, addr: addr, meters: meters, gap: -1, poison: -1, runs: map[string]*run{}, gauges: core.NoGauges(),
-		checks: map[string]func(bool){}}
+		checks: map[string]func(bool){}, refused: logs.Limit{Now: l.Now}}
 }
 
 // wire is one connection to the engine. Two exist while a new one is dialled beside one that still stands.
@@ -306,7 +308,7 @@
 			fn(m.Status == "fine")
 		}
 	case "NO":
-		log.Printf("engine: %s of %s was not carried out", m.Status, m.Rid)
+		k.refused.Printf("engine: %s of %s was not carried out", m.Status, m.Rid)
 		if r := k.runs[m.Rid]; r != nil && m.Status == "RUN" {
 			delete(k.runs, m.Rid)
 			k.sink.Ended(r.attempt, core.Unknown, nil)
--- a/internal/scenario/platform.go
+++ b/internal/scenario/platform.go
@@ -181,7 +181,7 @@
 }
 
 // Engine is a stand-in for the platform's engine. It sees `RUN ID CLASS BODY`, `FEED ID BODY` and `ATTACH NO`, sends
-// `done ID STATUS RESULT`, `need ID BODY`, `no ID COMMAND` and `lost` (a notice that is kept but not written), and answers gauges by
+// `done ID STATUS RESULT`, `need ID BODY`, `no ID COMMAND` and `lost` before a notice that is kept but not written, and answers gauges by
 // itself. Close breaks the link; `deaf` has it swallow what comes until then.
 type Engine struct {
 	*Seen
@@ -240,6 +240,10 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	m := map[string]any{"no": len(e.notices) + 1}
+	lost := words[0] == "lost"
+	if lost {
+		words = words[1:]
+	}
 	switch words[0] {
 	case "no":
 		_, err := fmt.Fprintf(e.link, `{"t":"NO","status":%q,"rid":%q}`+"\n", words[2], CallID(words[1]))
@@ -262,7 +266,7 @@
 		return err
 	}
 	e.notices = append(e.notices, string(line)+"\n")
-	if !e.deaf {
+	if !e.deaf && !lost {
 		_, err = io.WriteString(e.link, e.notices[len(e.notices)-1])
 	}
 	return err
