Forget the best call time by calls, so that the usual one does not look slow

At fault: stepCalls, callForget by the period. The lowest of a fast mean lies the deeper the more calls there are in the time in which it is forgotten; with work and aims scaled to a quarter there are four times as many.

Now: 0.3% a call.

--- a/controller.go
+++ b/controller.go
@@ -33,7 +33,7 @@
 	callLeast    = 0.2   // of it: the least, however small; the rest is saved up for calls that take long
 	callSlow     = 2.0   // best mean times of a call: past it the dependency is crowded
 	callCut      = 0.9   // a period: how fast a crowded dependency is given room
-	callForget   = 1.002 // a period: the best mean is forgotten by 2% a second
+	callForget   = 1.003 // a call: how fast the best mean is forgotten
 	callLate     = 1e-6  // of worth, for each second left: the order of requests that are late
 	callAhead    = 0.07  // of the aim: what would stand in line for a call for longer is refused at reading
 	idlePool     = 3.0   // credits for each core: the least while calls stand in line and the cores are free
@@ -688,9 +688,6 @@
 	if c.calls < callFew {
 		return
 	}
-	if c.callBest = min(c.callBest*callForget, c.callMean); c.callBest == 0 {
-		c.callBest = c.callMean
-	}
 	if c.callMean > callSlow*c.callBest {
 		c.callLimit *= callCut
 	} else {
@@ -824,6 +821,10 @@
 	if took := e.Elapsed.Seconds(); !proven && e.Outcome != Broken {
 		c.calls++
 		c.callMean += max(learn, 1/c.calls) * (took - c.callMean)
+		// Forgotten by time, the best of many short calls is that of a lucky few, and the usual looks slow.
+		if c.callBest = min(c.callBest*callForget, c.callMean); c.calls <= callFew {
+			c.callBest = c.callMean
+		}
 	}
 	if e.Outcome == OK {
 		c.resume(r, false)
--- a/controller_test.go
+++ b/controller_test.go
@@ -180,6 +180,22 @@
 }
 
 // Calls that take longer the more there are must be held back.
+// Where calls are short and many, the lowest mean was that of a lucky few, and lasted: the usual looked twice as slow.
+func TestBestCallTimeIsForgottenByCalls(t *testing.T) {
+	h := newHand(t, nil)
+	h.calls(1, 20, 8*ms) // the lucky few
+	most := h.ctl.callLimit
+	for id := uint64(100); id < 900; id++ { // 20 a period
+		h.at(0, h.ask(id, 0))
+		h.at(0, Event{Kind: EventBlocked, Request: id})
+		h.at(0, Event{Kind: EventCalled, Request: id, Outcome: OK, Elapsed: 20 * ms})
+		h.at(period/20, Event{Kind: EventDone, Request: id, Outcome: OK}, timerEvent(0.5, 1))
+	}
+	if h.ctl.callLimit < most {
+		t.Errorf("limit of calls %v, it was %v", h.ctl.callLimit, most)
+	}
+}
+
 // While calls stood in line the credit fell to a trickle, and what makes no calls was not sent either, to idle cores.
 func TestJamRefusesWhatCallsAndLeavesRoomForTheRest(t *testing.T) {
 	h := newHand(t, func(s *Settings) { s.CallsOut, s.Classes[2].Calls = 1, false })
