Operators' door: readiness and figures over HTTP, counted by class in one place

Change: internal/front/ops on the loop, with 16 places of its own; the core counts by class at the one end of a request, and the status line, the metrics and the door read that. The platform's front listens with SO_REUSEPORT. A HUP's file is counted as taken or turned down.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -17,6 +17,7 @@
 	"shalesail/internal/core"
 	"shalesail/internal/engine"
 	"shalesail/internal/explain"
+	"shalesail/internal/front/ops"
 	"shalesail/internal/front/platform"
 	"shalesail/internal/front/uwsgi"
 	"shalesail/internal/hold"
@@ -85,6 +86,9 @@
 	}
 	r.files, r.out = files, out
 	evListens.Log(cfg.Name, r.front.Addr())
+	if r.door != nil {
+		evListens.Log("ops", r.door.Addr())
+	}
 	if r.second != nil {
 		evListens.Log("uwsgi", r.second.Addr())
 	}
@@ -127,6 +131,7 @@
 	loop   *loop.Loop
 	core   *core.Core
 	front  *platform.Front
+	door   *ops.Door     // nil where nobody opened it
 	second *uwsgi.Front  // nil where no operator's file sets it up
 	routes []core.Runner // by class
 	groups map[string]*upstream.Group
@@ -149,6 +154,8 @@
 	untold  traces.Lost      // as was told last
 	fatal   error            // why the program ends
 
+	accepted, invalid int64 // files at HUP
+
 	leaving       bool
 	reading, more bool // files are being read; they are to be read once more after that
 }
@@ -218,6 +225,11 @@
 	if err := r.listenControl(); err != nil {
 		return nil, err
 	}
+	if cfg.Ops.IsValid() {
+		if r.door, err = ops.Listen(l, cfg.Ops, r); err != nil {
+			return nil, fmt.Errorf("ops: %w", err)
+		}
+	}
 	return r, r.front.Listen(cfg.Listen, mostBalancers(cfg), r.core)
 }
 
@@ -310,17 +322,18 @@
 		cfg, op, err := r.files.read()
 		r.loop.Deliver(func() {
 			r.reading = false
-			if r.more { // what was read may be older than the last HUP
-				r.more = false
-				r.reload()
-				return
-			}
 			if err == nil {
 				err = r.take(cfg, op)
 			}
-			if err != nil {
+			if r.accepted++; err != nil {
+				r.accepted--
+				r.invalid++
 				evNotTaken.Log(err)
 			}
+			if r.more { // what was read may be older than the last HUP
+				r.more = false
+				r.reload()
+			}
 		})
 	}()
 }
@@ -346,6 +359,10 @@
 			evRoster.Log(err)
 		}
 	}
+	if cfg.Ops != r.cfg.Ops {
+		evLater.Log("ops of the platform's file")
+		cfg.Ops = r.cfg.Ops
+	}
 	if cfg.Listen != r.cfg.Listen {
 		evLater.Log("listen of the platform's file")
 		cfg.Listen = r.cfg.Listen
@@ -442,7 +459,7 @@
 	look = func() {
 		past := r.loop.Now() - began
 		if r.conns() == 0 && past > grace || past > r.cfg.Stop-drainSpare {
-			evDrained.Log(past/1000, r.core.Open(), r.core.Stats)
+			evDrained.Log(past/1000, r.core.Open(), r.core.Stats())
 			r.loop.Stop()
 			return
 		}
--- a/internal/app/control.go
+++ b/internal/app/control.go
@@ -253,7 +253,7 @@
 }
 
 func (r *Program) statusNow() *Status {
-	s := &Status{Name: r.cfg.Name, Version: buildinfo.Version(), Draining: r.leaving, Open: r.core.Open(), Connections: r.conns(), Stats: r.core.Stats}
+	s := &Status{Name: r.cfg.Name, Version: buildinfo.Version(), Draining: r.leaving, Open: r.core.Open(), Connections: r.conns(), Stats: r.core.Stats()}
 	for _, name := range slices.Sorted(maps.Keys(r.groups)) {
 		line, _ := r.groups[name].Summary()
 		s.Groups = append(s.Groups, line)
--- /dev/null
+++ b/internal/app/door.go
@@ -0,0 +1,36 @@
+package app
+
+// Figures are what the operators' door tells. Their names are the platform's.
+type Figures struct {
+	Fulfilled   map[string]int64 `json:"fulfilled"` // by class: served,
+	Throttled   map[string]int64 `json:"throttled"` // refused,
+	Faulted     map[string]int64 `json:"faulted"`   // and failed
+	Relayed     int64            `json:"relayed"`   // attempts handed to the engine or a server
+	Open        int              `json:"open_requests"`
+	CfgAccepted int64            `json:"cfg_accepted"`
+	CfgInvalid  int64            `json:"cfg_invalid"`
+}
+
+// Figures implements ops.Program.
+func (r *Program) Figures() any {
+	f := Figures{Fulfilled: map[string]int64{}, Throttled: map[string]int64{}, Faulted: map[string]int64{}, Open: r.core.Open(),
+		CfgAccepted: r.accepted, CfgInvalid: r.invalid}
+	for name, n := range r.core.ByClass() {
+		f.Fulfilled[name], f.Throttled[name], f.Faulted[name] = n.Served, n.Refused, n.Faulted()
+		f.Relayed += n.Started
+	}
+	return f
+}
+
+// Ready implements ops.Program.
+func (r *Program) Ready() (why string, ok bool) {
+	switch {
+	case r.leaving:
+		return "it leaves", false
+	case r.cfg.Engine.IsValid() && !r.link.Up():
+		return "the engine is not there", false
+	case r.keep != nil && !r.keep.Restored():
+		return "keys are being read from the disk", false
+	}
+	return "", true
+}
--- a/internal/app/status.go
+++ b/internal/app/status.go
@@ -15,7 +15,7 @@
 	logs.TellCut()
 	r.tellLost()
 	r.tellSpans()
-	if s := r.core.Stats; s != r.told {
+	if s := r.core.Stats(); s != r.told {
 		evStatus.Log(r.core.Open(), r.conns(), s)
 		r.told = s
 	}
@@ -28,7 +28,7 @@
 
 // table tells all that is known of the servers: USR1 asks for it.
 func (r *Program) table() {
-	evStatus.Log(r.core.Open(), r.conns(), r.core.Stats)
+	evStatus.Log(r.core.Open(), r.conns(), r.core.Stats())
 	if r.watch != nil {
 		if why := r.watch.Reason(); why != "" {
 			evListWaits.Log(why)
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -25,6 +25,7 @@
 	Engine   netip.AddrPort
 	Roster   netip.AddrPort
 	Backend  netip.AddrPort
+	Ops      netip.AddrPort // the operators' door; not valid: there is none
 	Seed     uint64
 	Stop     int64 // microseconds from the notice to leave to the end
 	Sockets  int
@@ -39,6 +40,7 @@
 	Engine   string          `json:"engine"`
 	Roster   string          `json:"roster"`
 	Backend  string          `json:"backend"`
+	Ops      string          `json:"ops"`
 	Seed     string          `json:"seed"`
 	StopMs   float64         `json:"stop_ms"`
 	Limits   limits          `json:"limits"`
@@ -50,6 +52,9 @@
 	Sockets  int     `json:"sockets"`
 }
 
+// doorVar names the operators' door where the file does not.
+const doorVar = "ROUTER_OPS"
+
 // ReadPlatform reads and checks the platform's file.
 func ReadPlatform(path string) (*Platform, error) {
 	if path == "" {
@@ -63,6 +68,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("config: %s: %w", path, err)
 	}
+	if door := os.Getenv(doorVar); door != "" && !p.Ops.IsValid() {
+		if p.Ops, err = netip.ParseAddrPort(door); err != nil {
+			return nil, fmt.Errorf("config: %s: %w", doorVar, err)
+		}
+	}
 	return p, nil
 }
 
@@ -84,6 +94,7 @@
 		{"engine", f.Engine, &p.Engine, false},
 		{"roster", f.Roster, &p.Roster, false},
 		{"backend", f.Backend, &p.Backend, false},
+		{"ops", f.Ops, &p.Ops, false},
 	} {
 		if a.text == "" && !a.must {
 			continue
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -267,22 +267,14 @@
 	open     int // not yet answered
 	keys     keyTable
 	settling bool
-	drainAt  int64 // monotonic; 0: not draining
-	Stats    Stats
+	drainAt  int64            // monotonic; 0: not draining
+	counts   []Stats          // by class
+	past     map[string]Stats // of classes that there are not any more, by name
 
 	refused   int // for their keys, since that was told
 	refusedAt int64
 }
 
-// Stats counts what became of requests since the start.
-type Stats struct{ Read, Served, Refused, Failed, Late, Gone, Started, Repeats, Misused int64 }
-
-// LogValue implements slog.LogValuer.
-func (s Stats) LogValue() slog.Value {
-	return slog.GroupValue(slog.Int64("read", s.Read), slog.Int64("served", s.Served), slog.Int64("refused", s.Refused), slog.Int64("failed", s.Failed),
-		slog.Int64("late", s.Late), slog.Int64("gone", s.Gone), slog.Int64("started", s.Started), slog.Int64("repeats", s.Repeats), slog.Int64("misused", s.Misused))
-}
-
 // New makes the table round a fresh module.
 func New(set shalesail.Settings, seed uint64, host Host) (*Core, error) {
 	module, err := shalesail.New(set, seed)
@@ -293,7 +285,7 @@
 		host.Log = (*logs.Event).Log
 	}
 	c := &Core{host: host, set: set, requests: map[uint64]*request{}, names: map[string]struct{}{},
-		callers: callerTable{last: map[uint32]int64{}}, keys: newKeyTable(host.Limits)}
+		callers: callerTable{last: map[uint32]int64{}}, keys: newKeyTable(host.Limits), counts: make([]Stats, len(set.Classes)), past: map[string]Stats{}}
 	c.gate = gate{module: module, now: host.Now}
 	return c, nil
 }
@@ -371,12 +363,12 @@
 			if r.trail != nil {
 				r.trail.First = r.entry.first
 			}
-			c.Stats.Repeats++
+			c.counts[q.Class].Repeats++
 		}
 	}
 	c.requests[r.id], c.names[q.Name] = r, struct{}{}
 	c.open++
-	c.Stats.Read++
+	c.counts[q.Class].Read++
 	if c.host.Seen != nil {
 		c.host.Seen(q)
 	}
@@ -418,7 +410,8 @@
 
 // misused answers a request that is not taken in. The module never hears of it.
 func (c *Core) misused(q *Request, why Reason) Ticket {
-	c.Stats.Misused++
+	c.counts[q.Class].Read++
+	c.counts[q.Class].ended(Misused)
 	t := c.trail(q)
 	t.because(CauseNameOpen+Cause(why-NameOpen), 0, 0)
 	c.tell(t, Misused, 0)
@@ -442,7 +435,7 @@
 	if r == nil || r.answered {
 		return
 	}
-	c.Stats.Gone++
+	c.counts[r.Class].Gone++
 	r.trail.because(CauseGone, 0, 0)
 	c.tellOf(r, 0, 0)
 	c.close(r)
@@ -468,7 +461,7 @@
 		return false
 	}
 	c.callers.prove(r.Caller, c.host.Now())
-	c.Stats.Served++
+	c.counts[r.Class].Served++
 	r.answered = true
 	c.open--
 	c.tellOf(r, Served, 0)
@@ -675,7 +668,6 @@
 			return
 		}
 	}
-	c.Stats.Started++
 	c.attempt(r, nil)
 }
 
@@ -696,6 +688,12 @@
 
 func (c *Core) attempt(r *request, before *Attempt) {
 	r.running = c.newAttempt(r, before)
+	c.run(r)
+}
+
+// run hands an attempt to its runner.
+func (c *Core) run(r *request) {
+	c.counts[r.Class].Started++
 	r.trail.tried(c.host.Unix())
 	r.running.runner.Run(r.running)
 }
@@ -754,16 +752,9 @@
 	if r.answered {
 		return
 	}
-	switch a.Kind {
-	case Served:
-		c.Stats.Served++
-	case Refused:
-		c.Stats.Refused++
+	c.counts[r.Class].ended(a.Kind)
+	if a.Kind == Refused {
 		a.ComeBack = max(a.ComeBack, comeBack)
-	case Late:
-		c.Stats.Late++
-	default:
-		c.Stats.Failed++
 	}
 	c.close(r)
 	c.tellOf(r, a.Kind, a.ComeBack)
--- /dev/null
+++ b/internal/core/counts.go
@@ -0,0 +1,76 @@
+package core
+
+import "log/slog"
+
+// Stats counts what became of requests since the start. Whoever has it read is in one of the ends, or open:
+// Read = Served + Refused + Failed + Late + Misused + Gone + those that are open.
+type Stats struct {
+	Read    int64
+	Served  int64
+	Refused int64
+	Failed  int64
+	Late    int64
+	Gone    int64 // nobody waited any more when they ended
+	Started int64 // attempts handed to whoever runs them
+	Repeats int64 // of those read
+	Misused int64
+}
+
+// ended counts the one final answer to a request.
+func (s *Stats) ended(k Kind) {
+	switch k {
+	case Served:
+		s.Served++
+	case Refused:
+		s.Refused++
+	case Late:
+		s.Late++
+	case Misused:
+		s.Misused++
+	default:
+		s.Failed++
+	}
+}
+
+// Faulted is how many were answered, and neither served nor refused.
+func (s Stats) Faulted() int64 { return s.Failed + s.Late + s.Misused }
+
+func (s *Stats) add(o Stats) {
+	s.Read += o.Read
+	s.Served += o.Served
+	s.Refused += o.Refused
+	s.Failed += o.Failed
+	s.Late += o.Late
+	s.Gone += o.Gone
+	s.Started += o.Started
+	s.Repeats += o.Repeats
+	s.Misused += o.Misused
+}
+
+// LogValue implements slog.LogValuer.
+func (s Stats) LogValue() slog.Value {
+	return slog.GroupValue(slog.Int64("read", s.Read), slog.Int64("served", s.Served), slog.Int64("refused", s.Refused), slog.Int64("failed", s.Failed),
+		slog.Int64("late", s.Late), slog.Int64("gone", s.Gone), slog.Int64("started", s.Started), slog.Int64("repeats", s.Repeats), slog.Int64("misused", s.Misused))
+}
+
+// ByClass gives the counts of each class by its name, also of those that there are not any more.
+func (c *Core) ByClass() map[string]Stats {
+	out := make(map[string]Stats, len(c.counts)+len(c.past))
+	for name, s := range c.past {
+		out[name] = s
+	}
+	for i := range c.counts {
+		s := out[c.set.Classes[i].Name]
+		s.add(c.counts[i])
+		out[c.set.Classes[i].Name] = s
+	}
+	return out
+}
+
+// Stats gives the counts of all classes together.
+func (c *Core) Stats() (sum Stats) {
+	for _, s := range c.ByClass() {
+		sum.add(s)
+	}
+	return sum
+}
--- a/internal/core/keeper.go
+++ b/internal/core/keeper.go
@@ -65,15 +65,13 @@
 	switch {
 	case e.result != nil:
 		a = Answer{Kind: Served, Result: e.result}
-		c.Stats.Served++
 	case e.doubt:
 		a.Reason = InDoubt
-		c.Stats.Failed++
-	default:
-		c.Stats.Failed++
 	}
-	c.Stats.Read++
-	c.Stats.Repeats++
+	n := &c.counts[q.Class]
+	n.Read++
+	n.Repeats++
+	n.ended(a.Kind)
 	if t := c.trail(q); t != nil {
 		if t.First = e.first; e.doubt {
 			t.because(CauseInDoubt, 0, 0)
@@ -124,9 +122,7 @@
 		c.host.Log(evRunUnkept, a.Class, r.Name, err)
 	case r.answered || c.late(r) || c.host.Now() >= r.due-lateBy:
 	default:
-		c.Stats.Started++
-		r.trail.tried(c.host.Unix())
-		a.runner.Run(a)
+		c.run(r)
 		return
 	}
 	r.trail.because(CauseDisk, 0, 0)
--- /dev/null
+++ b/internal/front/ops/ops.go
@@ -0,0 +1,170 @@
+// Package ops is the operators' door: HTTP/1.1, one call a connection, on a listener of its own. It passes on what the
+// program says, and decides and counts nothing.
+//
+//	GET /ops/readiness   200: this process can serve now; 503: it cannot, and why
+//	GET /ops/stats       the figures
+package ops
+
+import (
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"net/netip"
+	"strconv"
+
+	"shalesail/internal/httpmsg"
+	"shalesail/internal/logs"
+	"shalesail/internal/loop"
+)
+
+// What is told to operators.
+var evBad = logs.Define("ops.bad_call", slog.LevelWarn, "status", "error")
+
+const (
+	mostCalls = 16      // connections at once; the share of the descriptors that is the door's
+	mostHead  = 4 << 10 // bytes of a call
+	mostOut   = 256 << 10
+	readMost  = 2_000_000 // microseconds in which a call comes whole
+	roomFor   = 4         // connections that go at once when others wait
+)
+
+// Most is how many descriptors the door takes at the most, its listener included.
+const Most = mostCalls + 1
+
+// Program is what the door tells of.
+type Program interface {
+	// Ready tells whether this process can serve now, and if not, why.
+	Ready() (why string, ok bool)
+	// Figures are written as JSON.
+	Figures() any
+}
+
+// Door owns the listener and the connections on it.
+type Door struct {
+	loop *loop.Loop
+	of   Program
+	ln   *loop.Listener
+	open []*caller // oldest first
+}
+
+// Listen opens the door.
+func Listen(l *loop.Loop, addr netip.AddrPort, of Program) (*Door, error) {
+	d := &Door{loop: l, of: of}
+	var err error
+	d.ln, err = l.Listen(addr, mostCalls, loop.Limits{In: mostHead + 4, Out: mostOut}, d.accept, d.makeRoom)
+	return d, err
+}
+
+// Addr is where it listens.
+func (d *Door) Addr() netip.AddrPort { return d.ln.Addr() }
+
+func (d *Door) accept(c *loop.Conn) loop.Handler {
+	k := &caller{Conn: c, door: d}
+	k.timer = d.loop.After(readMost, func() { k.reply(408, problem{"the call did not come whole in time"}) })
+	d.open = append(d.open, k)
+	return k
+}
+
+// makeRoom closes those that have been there longest without a whole call: others wait for their places.
+func (d *Door) makeRoom() {
+	n := 0
+	for _, k := range d.open {
+		if !k.done && n < roomFor {
+			n++
+			k.Close(nil)
+		}
+	}
+}
+
+// caller is one connection.
+type caller struct {
+	*loop.Conn
+	door  *Door
+	timer *loop.Timer
+	done  bool // it has its reply
+}
+
+type problem struct {
+	Error string `json:"error"`
+}
+
+// Connected implements loop.Handler.
+func (k *caller) Connected() {}
+
+// Data implements loop.Handler.
+func (k *caller) Data(b []byte) (int, error) {
+	if k.done {
+		return len(b), nil
+	}
+	q, used, err := httpmsg.ReadRequest(b, mostHead)
+	switch {
+	case errors.Is(err, httpmsg.ErrHead):
+		k.refuse(431, err)
+	case err != nil:
+		k.refuse(400, err)
+	case used > 0:
+		k.call(q)
+	default:
+		return 0, nil
+	}
+	return len(b), nil // one call a connection: what follows is not read
+}
+
+func (k *caller) call(q *httpmsg.Request) {
+	switch {
+	case q.Path != "/ops/readiness" && q.Path != "/ops/stats":
+		k.refuse(404, errors.New("no such call: there are /ops/readiness and /ops/stats"))
+	case q.Method != "GET":
+		k.refuse(405, errors.New("the method is GET"))
+	case q.Path == "/ops/stats":
+		k.reply(200, k.door.of.Figures())
+	default:
+		why, ok := k.door.of.Ready()
+		if !ok {
+			k.reply(503, problem{why})
+			return
+		}
+		k.reply(200, struct {
+			Ready bool `json:"ready"`
+		}{true})
+	}
+}
+
+func (k *caller) refuse(status int, err error) {
+	evBad.Log(status, err)
+	k.reply(status, problem{err.Error()})
+}
+
+var phrases = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
+	431: "Request Header Fields Too Large", 500: "Internal Server Error", 503: "Service Unavailable"}
+
+// reply answers the call, and ends the connection.
+func (k *caller) reply(status int, v any) {
+	k.done = true
+	k.timer.Stop()
+	body, err := json.Marshal(v)
+	if err != nil {
+		status, body = 500, nil
+	}
+	out := "HTTP/1.1 " + strconv.Itoa(status) + " " + phrases[status] + "\r\nContent-Type: application/json\r\nContent-Length: " +
+		strconv.Itoa(len(body)) + "\r\nCache-Control: no-store\r\n"
+	if status == 405 {
+		out += "Allow: GET\r\n"
+	}
+	k.Write(append([]byte(out+"Connection: close\r\n\r\n"), body...))
+	k.Leave()
+}
+
+// End implements loop.Handler. A caller may send no more and still wait for its reply.
+func (k *caller) End() bool { return k.done }
+
+// Closed implements loop.Handler.
+func (k *caller) Closed(error) {
+	k.timer.Stop()
+	for i, o := range k.door.open {
+		if o == k {
+			k.door.open = append(k.door.open[:i:i], k.door.open[i+1:]...)
+			return
+		}
+	}
+}
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -92,7 +92,7 @@
 // Listen begins to take connections for the core, at most so many at once.
 func (f *Front) Listen(addr netip.AddrPort, most int, c *core.Core) (err error) {
 	f.core = c
-	f.ln, err = f.loop.Listen(addr, most, f.limits(), f.accept, f.makeRoom)
+	f.ln, err = f.loop.ListenShared(addr, most, f.limits(), f.accept, f.makeRoom)
 	if err == nil {
 		f.loop.Every(sweepEvery, f.sweep)
 	}
--- a/internal/httpmsg/httpmsg.go
+++ b/internal/httpmsg/httpmsg.go
@@ -1,4 +1,4 @@
-// Package httpmsg reads the heads of HTTP-style responses, as the back end and uwsgi servers send them. It holds no
+// Package httpmsg reads the heads of HTTP-style responses, as the back end and uwsgi servers send them, and of requests. It holds no
 // sockets.
 package httpmsg
 
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -112,6 +112,9 @@
 	k.health.down = ""
 }
 
+// Restored tells whether what was kept is read.
+func (k *Keeper) Restored() bool { return k.store != nil }
+
 // Closed implements core.Keeper.
 func (k *Keeper) Closed() (back int64, why string) { return k.health.closed(k.loop.Now()) }
 
--- a/internal/loop/listen.go
+++ b/internal/loop/listen.go
@@ -33,11 +33,21 @@
 	return l.ListenAddr(netaddr.Addr{IP: addr}, most, limits, accept, full)
 }
 
+// ListenShared is Listen on an address on which other processes of the same user listen as well. The system spreads connections over
+// all of them.
+func (l *Loop) ListenShared(addr netip.AddrPort, most int, limits Limits, accept func(*Conn) Handler, full func()) (*Listener, error) {
+	return l.listen(netaddr.Addr{IP: addr}, true, most, limits, accept, full)
+}
+
 // socketMode lets the owner and the group of a unix socket connect.
 const socketMode = 0o660
 
 // ListenAddr is Listen on any kind of address. The file of a unix socket that nobody listens on any more is replaced.
 func (l *Loop) ListenAddr(addr netaddr.Addr, most int, limits Limits, accept func(*Conn) Handler, full func()) (*Listener, error) {
+	return l.listen(addr, false, most, limits, accept, full)
+}
+
+func (l *Loop) listen(addr netaddr.Addr, shared bool, most int, limits Limits, accept func(*Conn) Handler, full func()) (*Listener, error) {
 	fam, sa := socketAddr(addr)
 	fd, err := unix.Socket(fam, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
@@ -49,6 +59,9 @@
 	} else {
 		_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
 	}
+	if shared { // where that fails, bind does if the address is taken
+		_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+	}
 	if err = unix.Bind(fd, sa); err == nil {
 		if ln.path = addr.Path; ln.path != "" {
 			err = unix.Chmod(ln.path, socketMode)
