Classes are added and dropped at HUP, and a file that lacks a key is turned down whole

Change: Settings.After keeps the place of each class; the module only grows its lines. Requests of a dropped class are taken for 5 s more. A file is compared with the one in force, key by key.

--- a/cmd/ryepaddle/main_test.go
+++ b/cmd/ryepaddle/main_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -60,6 +61,7 @@
 	servers   map[string]string // addresses by name
 	config    string
 	cfg       map[string]any
+	classes   []any          // of the example
 	elsewhere map[string]any // what a new configuration says otherwise
 }
 
@@ -151,13 +153,17 @@
 }
 
 // Send, Next and Close make the program an actor: it is sent TERM and seen to end, `exit 0`, or HUP with the servers
-// that its inventory is to list, `HUP move` with a configuration that says otherwise, or `HUP half` with half of that,
+// that its inventory is to list, `HUP classes` with these classes, `HUP move` with a configuration that says otherwise, or `HUP half` with half of that,
 // and has then read it.
 func (p *program) Send(words []string) error {
 	if words[0] == "TERM" {
 		return p.cmd.Process.Signal(syscall.SIGTERM)
 	}
 	path, text := p.inventory, "name,address,group\n"
+	if words[1] == "classes" {
+		p.elsewhere = p.withClasses(words[2:])
+		words = []string{"HUP", "move"}
+	}
 	if words[1] == "move" || words[1] == "half" {
 		for k, v := range p.elsewhere {
 			p.cfg[k] = v
@@ -190,6 +196,27 @@
 	return errors.New("the configuration is not read again")
 }
 
+// withClasses is what a configuration with these classes says otherwise. One that the example does not have is like its first.
+func (p *program) withClasses(names []string) map[string]any {
+	set := maps.Clone(p.cfg["settings"].(map[string]any))
+	if p.classes == nil {
+		p.classes = set["RequestClasses"].([]any)
+	}
+	var classes []any
+	for _, name := range names {
+		class := maps.Clone(p.classes[0].(map[string]any))
+		for _, c := range p.classes {
+			if c.(map[string]any)["Name"] == name {
+				class = c.(map[string]any)
+			}
+		}
+		class["Name"] = name
+		classes = append(classes, class)
+	}
+	set["RequestClasses"] = classes
+	return map[string]any{"settings": set}
+}
+
 // Next implements scenario.Actor.
 func (p *program) Next(within time.Duration) (string, bool) {
 	select {
@@ -257,6 +284,39 @@
 			balancer expect 2 500
 			balancer send health
 			balancer expect 99 200`},
+		// A file with other classes was turned down, and their requests failed until a restart.
+		"classes are added and dropped while requests are open": {"", `
+			balancer send 1 quick-check body=code
+			engine expect RUN 1 quick-check code
+			runner send HUP classes extra hand-in
+			runner send HUP classes more extra full-check hand-in
+			balancer send 2 extra
+			engine expect RUN 2 extra
+			balancer send 3 hand-in key=a body=code
+			engine expect RUN 3 hand-in code
+			balancer send 4 quick-check
+			engine expect RUN 4 quick-check
+			balancer send 5 more
+			engine expect RUN 5 more
+			engine send done 1 fine one
+			balancer expect 1 200 one
+			runner send HUP classes quick-check hand-in
+			engine send done 2 fine two
+			balancer expect 2 200 two
+			engine send done 3 fine three
+			balancer expect 3 200 three
+			balancer send 6 hand-in key=a body=code
+			balancer expect 6 200 three
+			engine send done 4 fine four
+			balancer expect 4 200 four
+			engine send done 5 fine five
+			balancer expect 5 200 five
+			runner send HUP half
+			balancer send 7 quick-check
+			engine expect RUN 7 quick-check
+			engine send done 7 fine seven
+			balancer expect 7 200 seven
+			engine expect nothing`},
 		"requests that cannot be read are failed": {"", `
 			balancer send 1 no-such-class
 			balancer expect 1 400 no class at "/ops/no-such-class"
--- a/controller.go
+++ b/controller.go
@@ -156,7 +156,9 @@
 	}
 	aim, over := 0.0, s.CallsOver.Seconds()
 	for i, c := range s.Classes {
-		aim = max(aim, c.Target.Seconds())
+		if !c.Dropped {
+			aim = max(aim, c.Target.Seconds())
+		}
 		if c.Target <= 0 || c.Deadline <= 0 || c.Effect > Unsafe || c.Effect == Keyed && c.Window <= 0 {
 			return nil, fmt.Errorf("shalesail: setting Classes[%d]: bad Target, Deadline, Effect, Window", i)
 		}
@@ -193,8 +195,8 @@
 	return out
 }
 
-// Configure takes changed settings while the server runs. Its classes, tenants and cores have to be those
-// it began with, since what it holds and has learned goes by them.
+// Configure takes changed settings while the server runs, laid over those in force by After. Its tenants and
+// cores have to be those it began with, since what it holds and has learned goes by them.
 func (c *Controller) Configure(s Settings) error {
 	fresh, err := New(s, 0)
 	if err != nil {
@@ -202,12 +204,14 @@
 	}
 	same := func(a, b Class) bool { return a.Name == b.Name && a.Effect == b.Effect }
 	named := func(a, b Tenant) bool { return a.Name == b.Name }
-	if !slices.EqualFunc(s.Classes, c.set.Classes, same) ||
+	n := len(c.holds)
+	if len(s.Classes) < n || !slices.EqualFunc(s.Classes[:n], c.set.Classes, same) ||
 		!slices.EqualFunc(s.Tenants, c.set.Tenants, named) || s.Cores != c.set.Cores ||
 		s.KeyKB != c.set.KeyKB || s.RunFactor != c.set.RunFactor ||
 		s.CreditMode != c.set.CreditMode || s.Dependency != c.set.Dependency {
 		return fmt.Errorf("shalesail: other classes, tenants, cores or another way of working need a restart")
 	}
+	c.holds = append(c.holds, make([]hold, len(s.Classes)-n)...)
 	s.Cold = c.set.Cold // it tells of the start
 	c.set, c.fig, c.callMost, c.callStock = s, fresh.fig, fresh.callMost, fresh.callStock
 	return nil
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"runtime/debug"
 	"slices"
+	"sync/atomic"
 	"syscall"
 
 	"shalesail"
@@ -140,9 +141,10 @@
 	link   *engine.Link
 	pool   *backend.Pool
 	roster *roster.Reporter
-	watch  *intake.Watcher   // nil where no inventory is watched
-	rec    *traffic.Recorder // nil where traffic is not recorded
-	lost   traffic.Lost      // as was told last
+	watch  *intake.Watcher          // nil where no inventory is watched
+	names  atomic.Pointer[[]string] // of classes, by place; those who write beside the loop read them too
+	rec    *traffic.Recorder        // nil where traffic is not recorded
+	lost   traffic.Lost             // as was told last
 	told   core.Stats
 
 	control *control.Server  // nil where nobody may ask
@@ -163,6 +165,7 @@
 // New puts the program together on a loop. It listens, and goes on when the loop does.
 func New(l *loop.Loop, cfg *config.Platform, op *config.Operator, repair bool) (*Program, error) {
 	r := &Program{cfg: cfg, op: op, loop: l, groups: map[string]*upstream.Group{}, holds: map[string]*hold.Runner{}}
+	r.nameClasses(cfg.Settings)
 	r.link = engine.New(l, cfg.Engine, func(v []float64) core.Gauges { return core.Gauges(wire.PlaceGauges(v, cfg.Meters)) })
 	r.pool = backend.New(l, cfg.Backend)
 	maxResponse := 0
@@ -237,9 +240,12 @@
 // there already take the file's servers and limits.
 func (r *Program) route(op *config.Operator) {
 	classes := r.cfg.Settings.Classes
+	routes, behind := r.routes, r.behind
 	r.routes, r.behind = make([]core.Runner, len(classes)), make([]*upstream.Group, len(classes))
 	for i := range classes {
-		r.routes[i] = r.link
+		if r.routes[i] = r.link; classes[i].Dropped { // what is open of it goes on where it was led
+			r.routes[i], r.behind[i] = routes[i], behind[i]
+		}
 	}
 	if op == nil {
 		return
@@ -255,7 +261,7 @@
 	}
 	for i, class := range classes {
 		name := op.GroupsByUse[class.Name]
-		if name == "" {
+		if name == "" || class.Dropped {
 			continue
 		}
 		if r.groups[name] == nil {
@@ -275,6 +281,18 @@
 	}
 }
 
+// nameClasses notes what the classes are called.
+func (r *Program) nameClasses(set shalesail.Settings) {
+	names := make([]string, len(set.Classes))
+	for i, c := range set.Classes {
+		names[i] = c.Name
+	}
+	r.names.Store(&names)
+}
+
+// className is what the class at a place is called.
+func (r *Program) className(class int) string { return (*r.names.Load())[class] }
+
 // secondOptions sets up the second front as the operator's file says.
 func (r *Program) secondOptions(op *config.Operator) uwsgi.Options {
 	opt := uwsgi.Options{Listen: op.ListenAddr, MaxConns: op.Limits.Connections, PerAddress: op.Limits.PerAddress, MaxVars: op.Limits.VarsKB << 10,
@@ -282,7 +300,7 @@
 		Lead: op.Lead, HealthPath: op.HealthPath, TenantVar: op.Tenant.Var, KeyVar: op.KeyVar, FirstVar: op.FirstVar,
 		SizeKB: op.Limits.RequestKB, Seed: r.cfg.Seed}
 	for _, p := range op.Routes {
-		class := slices.IndexFunc(r.cfg.Settings.Classes, func(c shalesail.Class) bool { return c.Name == p.Class })
+		class := r.cfg.Settings.Class(p.Class)
 		opt.Routes = append(opt.Routes, uwsgi.Route{Prefix: p.Path, Class: class, Due: p.DeadlineMs * 1000, Key: p.KeyFrom,
 			Safe: class >= 0 && r.cfg.Settings.Classes[class].Effect == shalesail.Safe, Remote: p.Group != ""})
 	}
@@ -351,9 +369,15 @@
 	case !slices.Equal(cfg.Meters, r.cfg.Meters):
 		return errors.New("config: field settings: the gauges cannot change while the program runs")
 	}
-	if err := r.core.Configure(cfg.Settings); err != nil {
+	if err := cfg.Has(r.cfg); err != nil {
+		return err
+	}
+	set, err := r.core.Configure(cfg.Settings)
+	if err != nil {
 		return fmt.Errorf("config: field settings: %w", err)
 	}
+	cfg.Settings = set
+	r.nameClasses(set)
 	if cfg.Roster.IsValid() && cfg.Roster != r.cfg.Roster {
 		if err := r.roster.Move(cfg.Roster); err != nil {
 			evRoster.Log(err)
@@ -374,7 +398,9 @@
 	r.pool.Move(cfg.Backend)
 	r.cfg = cfg
 	servers := 0
-	if op != nil {
+	if op == nil {
+		r.route(nil)
+	} else {
 		if op.ListenAddr != r.op.ListenAddr || op.HasFront() != r.op.HasFront() {
 			evLater.Log("listen")
 		}
--- a/internal/app/control.go
+++ b/internal/app/control.go
@@ -24,11 +24,7 @@
 	}
 	if r.op != nil && r.op.Control.Socket != "" {
 		r.recent = explain.New(r.op.Control.ExplainKB<<10, func(class int) bool { return r.core.Keyed(class) }, r.cfg.Seed)
-		var classes []string
-		for _, c := range r.cfg.Settings.Classes {
-			classes = append(classes, c.Name)
-		}
-		r.figures = metrics.New(classes, kindNames, r.gauges)
+		r.figures = metrics.New(r.className, kindNames, r.gauges)
 		all = append(all, func(t *core.Trail) { r.recent.Add(t, r.loop.Unix()) }, r.figures.Add, r.tellAnswered)
 	}
 	if r.spans != nil {
--- a/internal/app/record.go
+++ b/internal/app/record.go
@@ -39,6 +39,9 @@
 	}
 	evRecord.Log(path)
 	return func(q *core.Request) {
+		if q.Class >= len(h.Classes) { // one that came with a HUP: the head of the file does not name it
+			return
+		}
 		n := traffic.Request{At: q.Arrived, Class: uint16(q.Class), Tenant: uint16(max(q.Tenant, 0)), Caller: q.Caller,
 			SizeKB: float32(q.SizeKB), Rank: float32(q.Rank), BodyLen: uint32(len(q.Body))}
 		if len(q.Body) > 0 { // or all that carry none would look like tries of one
--- a/internal/app/traces.go
+++ b/internal/app/traces.go
@@ -18,10 +18,7 @@
 	}
 	t := &r.op.Traces
 	opt := traces.Options{File: t.File, MaxBytes: t.MaxMB << 20, Queue: t.Queue, Share: t.Share, PerSecond: t.PerSecond, Instance: r.cfg.Name,
-		Version: buildinfo.Version(), Ends: kindNames, Outcomes: outcomeNames}
-	for _, c := range r.cfg.Settings.Classes {
-		opt.Classes = append(opt.Classes, c.Name)
-	}
+		Version: buildinfo.Version(), Ends: kindNames, Outcomes: outcomeNames, Class: r.className}
 	for _, c := range r.cfg.Settings.Tenants {
 		opt.Tenants = append(opt.Tenants, c.Name)
 	}
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -32,6 +32,8 @@
 	MemoryMB int
 	Settings shalesail.Settings
 	Meters   []wire.Gauge
+	file     string
+	shape    any // the file as it was decoded
 }
 
 type platformFile struct {
@@ -68,6 +70,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("config: %s: %w", path, err)
 	}
+	p.file = path
 	if door := os.Getenv(doorVar); door != "" && !p.Ops.IsValid() {
 		if p.Ops, err = netip.ParseAddrPort(door); err != nil {
 			return nil, fmt.Errorf("config: %s: %w", doorVar, err)
@@ -118,7 +121,10 @@
 	if p.Sockets < 32 || p.MemoryMB < 16 {
 		return nil, fieldError(text, "limits", "sockets under 32 or memory_mb under 16")
 	}
-	var err error
+	err := json.Unmarshal(text, &p.shape)
+	if err != nil {
+		return nil, jsonError(text, err)
+	}
 	if p.Settings, p.Meters, err = parseSettings(f.Settings); err != nil {
 		return nil, fieldError(text, "settings", err.Error())
 	}
--- a/internal/config/pools.go
+++ b/internal/config/pools.go
@@ -76,7 +76,7 @@
 			pool.Weight = *l.Weight
 		}
 		for i, class := range p.Settings.Classes {
-			if slices.Contains(l.Classes, class.Name) {
+			if slices.Contains(l.Classes, class.Name) || class.Dropped && l.Classes != nil { // what is open of one that was dropped
 				pool.Classes = append(pool.Classes, i)
 			}
 		}
--- /dev/null
+++ b/internal/config/shape_test.go
@@ -0,0 +1,59 @@
+package config
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"shalesail"
+)
+
+// A file that is cut short, lacks a key or has a value of another kind says so before anything of it is used.
+func TestFilesThatLackSomething(t *testing.T) {
+	text, err := os.ReadFile("../../example/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	was, err := parsePlatform(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ name, old, new, want string }{
+		{"as it was", "", "", ""},
+		{"another value", `"stop_ms": 3200`, `"stop_ms": 3000`, ""},
+		{"a further key", `"name": "n0",`, `"name": "n0", "more": 1,`, ""},
+		{"another class", `"Name": "full-check"`, `"Name": "half-check"`, ""},
+		{"empty", string(text), "", "unexpected end"},
+		{"cut short", string(text[len(text)/2:]), "", "unexpected end"},
+		{"no engine", `"engine": "",`, ``, "field engine: missing"},
+		{"no stop", `"stop_ms": 3200,`, ``, "field stop_ms: not above 0"},
+		{"no limit", `"cores": 1.0, `, ``, "field limits.cores: missing"},
+		{"no setting", `"Servers": 10,`, ``, "field settings.Servers: missing"},
+		{"no setting of a class", `"TargetUs": 1000000, "DeadlineUs": 3000000, "WindowUs": 5000000},
+      {"Name": "hand-in"`, `"TargetUs": 1000000, "DeadlineUs": 3000000},
+      {"Name": "hand-in"`, "field settings.RequestClasses.1.WindowUs: missing"},
+		{"no deadline", `"DeadlineUs": 2500000, `, ``, "field settings.RequestClasses.2.DeadlineUs: missing"},
+		{"a deadline in words", `"DeadlineUs": 2500000`, `"DeadlineUs": "2500000"`, "field settings.RequestClasses.2.DeadlineUs: a text, where there was a number"},
+		{"a deadline that is nothing", `"DeadlineUs": 2500000`, `"DeadlineUs": null`, "DeadlineUs: nothing, where there was a number"},
+		{"a deadline below 0", `"DeadlineUs": 2500000`, `"DeadlineUs": -5`, `malformed value "-5"`},
+		{"a deadline of 0", `"DeadlineUs": 2500000`, `"DeadlineUs": 0`, "bad Target, Deadline"},
+		{"no classes", `"RequestClasses": [`, `"RequestClasses": [], "Were": [`, "setting Classes is missing"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := strings.Replace(string(text), c.old, c.new, 1)
+			if c.old != "" && now == string(text) {
+				t.Fatalf("%q is not in the file", c.old)
+			}
+			p, err := parsePlatform([]byte(now))
+			if err == nil {
+				err = p.Has(was)
+			}
+			if err == nil {
+				_, err = shalesail.New(p.Settings, 0) // as the core does before it takes them
+			}
+			if (err == nil) != (c.want == "") || err != nil && !strings.Contains(err.Error(), c.want) {
+				t.Errorf("%v, want %q", err, c.want)
+			}
+		})
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"log/slog"
 	"math"
+	"slices"
 
 	"shalesail"
 	"shalesail/internal/logs"
@@ -267,9 +268,10 @@
 	open     int // not yet answered
 	keys     keyTable
 	settling bool
-	drainAt  int64            // monotonic; 0: not draining
-	counts   []Stats          // by class
-	past     map[string]Stats // of classes that there are not any more, by name
+	drainAt  int64   // monotonic; 0: not draining
+	counts   []Stats // by class
+	// Monotonic times since when classes are not in the settings any more.
+	droppedAt []int64
 
 	refused   int // for their keys, since that was told
 	refusedAt int64
@@ -285,7 +287,8 @@
 		host.Log = (*logs.Event).Log
 	}
 	c := &Core{host: host, set: set, requests: map[uint64]*request{}, names: map[string]struct{}{},
-		callers: callerTable{last: map[uint32]int64{}}, keys: newKeyTable(host.Limits), counts: make([]Stats, len(set.Classes)), past: map[string]Stats{}}
+		callers: callerTable{last: map[uint32]int64{}}, keys: newKeyTable(host.Limits), counts: make([]Stats, len(set.Classes)),
+		droppedAt: make([]int64, len(set.Classes))}
 	c.gate = gate{module: module, now: host.Now}
 	return c, nil
 }
@@ -296,25 +299,49 @@
 	c.settle()
 }
 
-// Configure takes settings that were changed while the program runs.
-func (c *Core) Configure(set shalesail.Settings) error {
+// droppedFor is for how long after a change of the settings requests of a class that they have not any more are taken: callers hear
+// of it late.
+const droppedFor = 5_000_000
+
+// Configure takes settings that were changed while the program runs, and gives them as they are in force, with the places of classes
+// that they have dropped.
+func (c *Core) Configure(set shalesail.Settings) (shalesail.Settings, error) {
+	set, err := set.After(c.set)
+	if err != nil {
+		return set, err
+	}
 	if err := c.gate.module.Configure(set); err != nil {
-		return err
+		return set, err
+	}
+	for i := range set.Classes {
+		if i < len(c.set.Classes) && set.Classes[i].Dropped && !c.set.Classes[i].Dropped {
+			c.droppedAt[i] = c.host.Now()
+		}
 	}
+	grow := len(set.Classes) - len(c.set.Classes)
+	c.counts, c.droppedAt = append(c.counts, make([]Stats, grow)...), append(c.droppedAt, make([]int64, grow)...)
 	c.set = set
-	return nil
+	return set, nil
 }
 
 // Class finds a class by its name.
 func (c *Core) Class(name string) (int, bool) {
+	if i := c.set.Class(name); i >= 0 {
+		return i, true
+	}
 	for i := range c.set.Classes {
-		if c.set.Classes[i].Name == name {
+		if c.set.Classes[i].Name == name && c.host.Now() < c.droppedAt[i]+droppedFor {
 			return i, true
 		}
 	}
 	return 0, false
 }
 
+// Dropped tells whether there was a class by that name.
+func (c *Core) Dropped(name string) bool {
+	return slices.ContainsFunc(c.set.Classes, func(class shalesail.Class) bool { return class.Name == name && class.Dropped })
+}
+
 // Tenant finds a tenant by its name.
 func (c *Core) Tenant(name string) (int, bool) {
 	for i := range c.set.Tenants {
--- a/internal/core/counts.go
+++ b/internal/core/counts.go
@@ -55,10 +55,7 @@
 
 // ByClass gives the counts of each class by its name, also of those that there are not any more.
 func (c *Core) ByClass() map[string]Stats {
-	out := make(map[string]Stats, len(c.counts)+len(c.past))
-	for name, s := range c.past {
-		out[name] = s
-	}
+	out := make(map[string]Stats, len(c.counts))
 	for i := range c.counts {
 		s := out[c.set.Classes[i].Name]
 		s.add(c.counts[i])
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -480,6 +480,8 @@
 	}
 	q, err := f.request(p, path)
 	switch {
+	case errors.Is(err, errDropped): // its balancer has not heard of it yet, and its other requests are as good as ever
+		x.respond(404, []byte(err.Error()+"\n"), "Content-Type", "text/plain")
 	case err != nil:
 		x.reject(400, err)
 	case p["CONTENT_LENGTH"] != "" && p["CONTENT_LENGTH"] != strconv.Itoa(len(body)):
@@ -515,6 +517,9 @@
 	f.checker.Check(answer)
 }
 
+// errDropped is that of a request of a class that was dropped a while ago.
+var errDropped = errors.New("the class is not served any more")
+
 const maxAhead = 1000 // milliseconds by which a balancer's clock may be ahead
 
 // request reads the fields of a request.
@@ -522,6 +527,9 @@
 	q := &core.Request{Name: p["HTTP_X_CALL_ID"], Key: p["HTTP_X_DEDUPE_KEY"]}
 	var ok bool
 	if q.Class, ok = f.core.Class(strings.TrimPrefix(path, opsPrefix)); !ok || !strings.HasPrefix(path, opsPrefix) {
+		if f.core.Dropped(strings.TrimPrefix(path, opsPrefix)) {
+			return nil, errDropped
+		}
 		return nil, fmt.Errorf("no class at %q", path)
 	}
 	if p["REQUEST_METHOD"] != "POST" {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -25,7 +25,7 @@
 	waited   *prometheus.HistogramVec
 	causes   *prometheus.CounterVec
 	tries    *prometheus.CounterVec
-	classes  []string
+	class    func(int) string
 	ends     map[core.Kind]string
 	now      func() []Gauge
 }
@@ -33,9 +33,9 @@
 // seconds are the bounds of latencies: a few milliseconds to the longest deadlines.
 var seconds = []float64{.005, .01, .025, .05, .1, .25, .5, 1, 2, 4, 8, 16}
 
-// New makes the figures of a program whose classes are named so. now gives those of the moment.
-func New(classes []string, ends map[core.Kind]string, now func() []Gauge) *Metrics {
-	m := &Metrics{registry: prometheus.NewRegistry(), classes: classes, ends: ends, now: now}
+// New makes the figures of a program. class names the class at a place. now gives those of the moment.
+func New(class func(int) string, ends map[core.Kind]string, now func() []Gauge) *Metrics {
+	m := &Metrics{registry: prometheus.NewRegistry(), class: class, ends: ends, now: now}
 	m.took = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "ryepaddle_request_seconds", Buckets: seconds,
 		Help: "Time from a request's arrival to its answer."}, []string{"class", "end"})
 	m.waited = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "ryepaddle_wait_seconds", Buckets: seconds,
@@ -50,7 +50,7 @@
 
 // Add counts a request that was answered. Its id goes with the latency as an exemplar, by which it can be explained.
 func (m *Metrics) Add(t *core.Trail) {
-	class, end := m.classes[t.Class], m.ends[t.Kind]
+	class, end := m.class(t.Class), m.ends[t.Kind]
 	observe(m.took.WithLabelValues(class, end), t.Answered-t.Arrived, t.Name)
 	if t.Started > 0 {
 		observe(m.waited.WithLabelValues(class), t.Started-t.Arrived, t.Name)
--- a/internal/traces/traces.go
+++ b/internal/traces/traces.go
@@ -28,7 +28,7 @@
 	PerSecond int     // requests of a class and an end
 	Instance  string
 	Version   string
-	Classes   []string
+	Class     func(class int) string // its name; it is asked beside the loop
 	Tenants   []string
 	Ends      map[core.Kind]string
 	Outcomes  map[core.Outcome]string
@@ -138,7 +138,7 @@
 	if e.remote {
 		ctx = trace.ContextWithRemoteSpanContext(ctx, trace.NewSpanContext(trace.SpanContextConfig{TraceID: e.parent.Trace, SpanID: e.parent.Span, Remote: true}))
 	}
-	attrs := []attribute.KeyValue{attribute.String("ryepaddle.request", e.Name), attribute.String("ryepaddle.class", r.opt.Classes[e.Class]),
+	attrs := []attribute.KeyValue{attribute.String("ryepaddle.request", e.Name), attribute.String("ryepaddle.class", r.opt.Class(e.Class)),
 		attribute.String("ryepaddle.end", r.opt.Ends[e.Kind]), attribute.Int64("ryepaddle.caller", int64(e.Caller))}
 	if e.Tenant >= 0 && e.Tenant < len(r.opt.Tenants) {
 		attrs = append(attrs, attribute.String("ryepaddle.tenant", r.opt.Tenants[e.Tenant]))
@@ -152,7 +152,7 @@
 			attrs = append(attrs, attribute.Float64("ryepaddle.value", e.Value), attribute.Float64("ryepaddle.limit", e.Limit))
 		}
 	}
-	ctx, whole := r.span(ctx, e.at, r.opt.Classes[e.Class], trace.SpanKindServer, e.Arrived, attrs)
+	ctx, whole := r.span(ctx, e.at, r.opt.Class(e.Class), trace.SpanKindServer, e.Arrived, attrs)
 	if e.Kind != core.Served && e.Kind != core.Ran {
 		whole.SetStatus(codes.Error, e.Cause.String())
 	}
--- a/internal/traces/traces_test.go
+++ b/internal/traces/traces_test.go
@@ -11,7 +11,7 @@
 )
 
 func options(t testing.TB) Options {
-	return Options{File: filepath.Join(t.TempDir(), "spans"), MaxBytes: 1 << 20, Queue: 4, PerSecond: 10, Instance: "n1", Classes: []string{"check", "hand-in"},
+	return Options{File: filepath.Join(t.TempDir(), "spans"), MaxBytes: 1 << 20, Queue: 4, PerSecond: 10, Instance: "n1", Class: func(i int) string { return []string{"check", "hand-in"}[i] },
 		Ends: map[core.Kind]string{core.Refused: "refused"}}
 }
 
--- a/types.go
+++ b/types.go
@@ -55,6 +55,7 @@
 	LateWorth  float64 // fraction of the worth after the aim and before the deadline
 	Calls      bool    // requests of the class may call the dependency
 	OmitWorth  float64 // fraction of the worth earned when a call is left out; 0 forbids it
+	Dropped    bool    // it is there for what is open of it; see Settings.After
 }
 
 // Tenant is one customer that shares the fleet.
