--- a/classes.go
+++ b/classes.go
@@ -15,7 +15,7 @@
 	}
 	for i, c := range s.Classes {
 		for _, o := range s.Classes[:i] {
-			if o.Name == c.Name {
+			if o.Name == c.Name && !o.Dropped && !c.Dropped {
 				return s, fmt.Errorf("shalesail: setting Classes[%d]: a second class %s", i, c.Name)
 			}
 		}
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -4,6 +4,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -13,6 +14,7 @@
 
 	"shalesail"
 	"shalesail/internal/backend"
+	"shalesail/internal/claims"
 	"shalesail/internal/config"
 	"shalesail/internal/control"
 	"shalesail/internal/core"
@@ -78,7 +80,7 @@
 	if err != nil {
 		return err
 	}
-	limitMemory(cfg)
+	limitMemory(cfg, 1)
 	if op != nil {
 		setLog(out, &op.Log)
 	}
@@ -86,7 +88,6 @@
 		return err
 	}
 	r.files, r.out = files, out
-	evListens.Log(cfg.Name, r.front.Addr())
 	if r.door != nil {
 		evListens.Log("ops", r.door.Addr())
 	}
@@ -121,7 +122,9 @@
 }
 
 // limitMemory leaves half the limit for stacks, the runtime's own and what the system books for sockets.
-func limitMemory(cfg *config.Platform) { debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 / 2) }
+func limitMemory(cfg *config.Platform, parts int) {
+	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 / 2 / int64(parts))
+}
 
 // Program is all of it.
 type Program struct {
@@ -158,13 +161,18 @@
 
 	accepted, invalid int64 // files at HUP
 
+	claims    *claims.Ledger // nil: no other process can be this runner
+	unclaimed bool           // it is not open yet, as another process holds its lock
+	parts     int            // processes that are this runner
+	listens   bool           // for balancers
+
 	leaving       bool
 	reading, more bool // files are being read; they are to be read once more after that
 }
 
 // New puts the program together on a loop. It listens, and goes on when the loop does.
 func New(l *loop.Loop, cfg *config.Platform, op *config.Operator, repair bool) (*Program, error) {
-	r := &Program{cfg: cfg, op: op, loop: l, groups: map[string]*upstream.Group{}, holds: map[string]*hold.Runner{}}
+	r := &Program{cfg: cfg, op: op, loop: l, parts: 1, groups: map[string]*upstream.Group{}, holds: map[string]*hold.Runner{}}
 	r.nameClasses(cfg.Settings)
 	r.link = engine.New(l, cfg.Engine, func(v []float64) core.Gauges { return core.Gauges(wire.PlaceGauges(v, cfg.Meters)) })
 	r.pool = backend.New(l, cfg.Backend)
@@ -183,7 +191,8 @@
 		r.second = uwsgi.New(l, r.secondOptions(op))
 	}
 	var err error
-	kept, life, err := r.startKeeper(repair)
+	life := uint64(max(rand.Uint32(), 1))
+	kept, err := r.startKeeper(repair)
 	if err != nil {
 		return nil, err
 	}
@@ -201,6 +210,7 @@
 		Seen:   r.record(),
 		Keeper: kept,
 		Trails: r.trails(),
+		Claims: claimer{r},
 		Life:   life,
 	})
 	if err != nil {
@@ -216,6 +226,7 @@
 		}
 	}
 	r.core.Start()
+	r.startClaims(life)
 	if r.keep != nil {
 		r.keep.Restore(r.core.Restore, r.storeFailed)
 	}
@@ -233,7 +244,7 @@
 			return nil, fmt.Errorf("ops: %w", err)
 		}
 	}
-	return r, r.front.Listen(cfg.Listen, mostBalancers(cfg), r.core)
+	return r, r.listen()
 }
 
 // route says where each class runs: on the engine, but what the operator's file leads to uwsgi servers. Groups that are
@@ -372,7 +383,10 @@
 	if err := cfg.Has(r.cfg); err != nil {
 		return err
 	}
-	set, err := r.core.Configure(cfg.Settings)
+	set, err := cfg.Settings.After(r.cfg.Settings)
+	if err == nil {
+		_, err = r.core.Configure(r.part(set))
+	}
 	if err != nil {
 		return fmt.Errorf("config: field settings: %w", err)
 	}
@@ -392,8 +406,8 @@
 		cfg.Listen = r.cfg.Listen
 	}
 	cfg.Seed = r.cfg.Seed
-	limitMemory(cfg)
-	r.front.SetMost(mostBalancers(cfg))
+	limitMemory(cfg, r.parts)
+	r.front.SetMost(mostBalancers(cfg) / r.parts)
 	r.link.Move(cfg.Engine)
 	r.pool.Move(cfg.Backend)
 	r.cfg = cfg
@@ -467,6 +481,10 @@
 	if r.leaving {
 		return
 	}
+	if r.replaced() {
+		r.retire()
+		return
+	}
 	r.leaving = true
 	began := r.loop.Now()
 	evDrain.Log(r.core.Open())
@@ -476,7 +494,9 @@
 	}
 	grace := min(r.cfg.Settings.DrainGrace.Microseconds()+100_000, r.cfg.Stop/2)
 	r.loop.After(grace, func() {
-		r.front.Leave()
+		if r.listens {
+			r.front.Leave()
+		}
 		if r.second != nil {
 			r.second.Leave()
 		}
--- /dev/null
+++ b/internal/app/beside.go
@@ -0,0 +1,182 @@
+package app
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"shalesail"
+	"shalesail/internal/claims"
+	"shalesail/internal/config"
+	"shalesail/internal/core"
+)
+
+// A new version is started beside the one that it replaces, and for a while two processes are one runner. They share TMPDIR.
+
+// Times are microseconds.
+const (
+	resultsPart = 16         // of the memory: what is written of results when another process comes
+	lookReady   = 10_000     // between looks whether the engine is there
+	retireMost  = 3_000_000  // a process that is replaced is killed so long after the notice, or the longest deadline if that is shorter,
+	retireSpare = 700_000    // and this
+	retireDrain = 1_000_000  // before that it turns away what still comes
+	keyLate     = 10_000_000 // how long after its window a key is asked for at the latest
+	claimsAgain = 100_000    // between tries to take part
+)
+
+// claimer is the ledger of claims as the core sees it, also before it is open.
+type claimer struct{ r *Program }
+
+// Claim implements core.Claims.
+func (c claimer) Claim(k core.Kept, within int64, free func() bool, done func(bool, error)) {
+	switch {
+	case c.r.claims != nil:
+		c.r.claims.Claim(k, within, free, done)
+	case c.r.unclaimed: // another process may have run it
+		done(false, claims.ErrBusy)
+	default:
+		done(true, nil)
+	}
+}
+
+// Ended implements core.Claims.
+func (c claimer) Ended(k core.Kept) {
+	if c.r.claims != nil {
+		c.r.claims.Ended(k)
+	}
+}
+
+// Forgot implements core.Claims.
+func (c claimer) Forgot(k core.Kept) {
+	if c.r.claims != nil {
+		c.r.claims.Forgot(k)
+	}
+}
+
+// startClaims takes part among the processes of this runner. Without a folder, or with one that cannot be used, it is the only one; while
+// another holds the lock nothing is claimed.
+func (r *Program) startClaims(life uint64) {
+	dir := os.Getenv("TMPDIR")
+	if dir == "" {
+		return
+	}
+	var window int64
+	for _, c := range r.cfg.Settings.Classes {
+		window = max(window, c.Window.Microseconds())
+	}
+	var err error
+	r.claims, err = claims.Open(r.loop, claims.Config{Dir: dir, Runner: r.cfg.Name + " " + r.cfg.Listen.String(), Life: uint32(life),
+		Window: window + keyLate, Most: int64(r.cfg.MemoryMB) << 20 / resultsPart, Beside: r.beside,
+		After: func(d int64, fn func()) { r.loop.After(d, fn) }}, r.core)
+	if r.unclaimed = errors.Is(err, claims.ErrBusy); r.unclaimed {
+		r.loop.After(claimsAgain, func() { r.startClaims(life) })
+	}
+	if err != nil {
+		evAlone.Log(err)
+	}
+}
+
+// beside is told how many other processes are this runner too.
+func (r *Program) beside(living int) {
+	r.parts = living + 1
+	r.share()
+}
+
+// share takes the part of the limits that is this process's own: together the processes have what one has.
+func (r *Program) share() {
+	limitMemory(r.cfg, r.parts)
+	r.front.SetMost(mostBalancers(r.cfg) / r.parts)
+	if _, err := r.core.Configure(r.part(r.cfg.Settings)); err != nil { // those in force were taken, and a part of them differs in figures alone
+		evNotTaken.Log(err)
+	}
+}
+
+// part is what of the settings is this process's own.
+func (r *Program) part(s shalesail.Settings) shalesail.Settings {
+	n := float64(r.parts)
+	s.MemoryKB /= n
+	s.CallsOut /= n
+	s.CrowdLimit = max(s.CrowdLimit/n, 1)
+	return s
+}
+
+// listen takes connections: at once, or, beside another process that does, once this one can serve them.
+func (r *Program) listen() error {
+	if r.parts > 1 && r.cfg.Engine.IsValid() && !r.link.Up() {
+		r.loop.After(lookReady, func() {
+			if err := r.listen(); err != nil {
+				r.fatal = err
+				r.loop.Stop()
+			}
+		})
+		return nil
+	}
+	if r.leaving {
+		return nil
+	}
+	if err := r.front.Listen(r.cfg.Listen, mostBalancers(r.cfg)/r.parts, r.core); err != nil {
+		return err
+	}
+	r.listens = true
+	evListens.Log(r.cfg.Name, r.front.Addr())
+	if r.claims != nil {
+		r.claims.Serves()
+	}
+	return nil
+}
+
+// replaced tells whether another process serves as this runner.
+func (r *Program) replaced() bool {
+	if r.claims == nil {
+		return false
+	}
+	_, serves := r.claims.Beside()
+	return serves
+}
+
+// stay is for how long a process lives after it was told that it is replaced.
+func stay(cfg *config.Platform) int64 {
+	var longest int64
+	for _, c := range cfg.Settings.Classes {
+		if !c.Dropped {
+			longest = max(longest, c.Deadline.Microseconds())
+		}
+	}
+	return min(longest, retireMost) + retireSpare
+}
+
+// retire leaves service to another process. It is no drain: callers are not to turn to other runners. What was read is answered, what
+// comes on connections that stand is served until the time runs out, and each connection is closed as it has nothing open.
+func (r *Program) retire() {
+	r.leaving = true
+	began, most := r.loop.Now(), stay(r.cfg)
+	evRetire.Log(r.core.Open(), most/1000)
+	if r.roster != nil {
+		r.roster.Stop()
+	}
+	if r.listens {
+		r.front.Retire()
+	}
+	if r.second != nil {
+		r.second.Leave()
+	}
+	r.loop.After(most-retireDrain, func() {
+		set := r.part(r.cfg.Settings)
+		set.DrainGrace = 0
+		if _, err := r.core.Configure(set); err != nil {
+			evNotTaken.Log(fmt.Errorf("drain: %w", err))
+		}
+		r.core.Drain(retireDrain)
+	})
+	var look func()
+	look = func() {
+		past := r.loop.Now() - began
+		if r.conns() == 0 && r.core.Idle() || past > most-drainSpare {
+			evDrained.Log(past/1000, r.core.Open(), r.core.Stats())
+			r.loop.Stop()
+			return
+		}
+		r.loop.After(drainLook, look)
+	}
+	look()
+}
--- a/internal/app/door.go
+++ b/internal/app/door.go
@@ -29,6 +29,10 @@
 		return "it leaves", false
 	case r.cfg.Engine.IsValid() && !r.link.Up():
 		return "the engine is not there", false
+	case !r.listens:
+		return "it does not listen yet", false
+	case r.unclaimed:
+		return "another process holds the lock of the claims", false
 	case r.keep != nil && !r.keep.Restored():
 		return "keys are being read from the disk", false
 	}
--- a/internal/app/events.go
+++ b/internal/app/events.go
@@ -16,6 +16,8 @@
 	evLater        = logs.Define("reload.later", slog.LevelWarn, "field")
 	evRoster       = logs.Define("reload.roster", slog.LevelWarn, "error")
 	evDrain        = logs.Define("drain.begins", slog.LevelInfo, "open")
+	evRetire       = logs.Define("drain.replaced", slog.LevelInfo, "open", "ms")
+	evAlone        = logs.Define("start.alone", slog.LevelError, "error")
 	evDrained      = logs.Define("drain.done", slog.LevelInfo, "ms", "unanswered", "requests")
 	evStatus       = logs.Define("status.requests", slog.LevelInfo, "open", "connections", "since_start")
 	evGroup        = logs.Define("status.group", slog.LevelInfo, "group", "summary").Most(100)
--- a/internal/app/keep.go
+++ b/internal/app/keep.go
@@ -1,17 +1,15 @@
 package app
 
 import (
-	"math/rand/v2"
-
 	"shalesail/internal/core"
 	"shalesail/internal/keeper"
 	"shalesail/internal/store"
 )
 
 // startKeeper takes the store's folder, so that no other process does. What is in it is read once the core stands.
-func (r *Program) startKeeper(repair bool) (core.Keeper, uint64, error) {
+func (r *Program) startKeeper(repair bool) (core.Keeper, error) {
 	if r.op == nil || r.op.Store.Dir == "" {
-		return nil, 0, nil
+		return nil, nil
 	}
 	var windows int64
 	for _, c := range r.cfg.Settings.Classes {
@@ -21,9 +19,9 @@
 	r.keep, err = keeper.Start(r.loop, store.Dir(r.op.Store.Dir), keeper.Config{Settings: r.op.Store.Settings(repair),
 		Patience: r.op.Store.PatienceMs * 1000, Window: windows})
 	if err != nil {
-		return nil, 0, err
+		return nil, err
 	}
-	return r.keep, uint64(rand.Uint32()), nil
+	return r.keep, nil
 }
 
 // storeFailed ends a program that cannot go by what it kept: all that is open is answered first.
--- /dev/null
+++ b/internal/claims/claims.go
@@ -0,0 +1,513 @@
+// Package claims settles among the processes of one runner which of them runs a key. A new process is started beside the one that it
+// replaces; all that they share is a folder and the kernel. Each appends the claims of its runs to a log of its own, and holds a kernel
+// lock on a file of its own for as long as it lives. A claim is made under a lock that all share: first what the others have
+// written is read, and then, if the key is not theirs, the claim is written. Records carry checksums: one that its writer was killed
+// over is no record, and what it would have claimed never ran.
+//
+// Times are microseconds.
+package claims
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"shalesail/internal/core"
+	"shalesail/internal/keeper"
+	"shalesail/internal/logs"
+	"shalesail/internal/store"
+)
+
+// What is told to operators.
+var (
+	evJoined = logs.Define("claims.joined", slog.LevelInfo, "process", "lives", "keys")
+	evGone   = logs.Define("claims.gone", slog.LevelInfo, "process")
+	evFailed = logs.Define("claims.failed", slog.LevelError, "error")
+)
+
+const (
+	pollAlone  = 50_000
+	pollOften  = 10_000 // while another process lives
+	tryAgain   = 1_000  // a lock that is held is free within microseconds, unless its holder was not given a core
+	openWithin = 2 * time.Second
+	newLogFrom = 256 << 10
+	sweepEvery = 5_000_000
+	readPart   = 64 << 10
+)
+
+// ErrBusy tells that the lock was not to be had in time.
+var ErrBusy = errors.New("claims: another process holds the lock")
+
+// Loop is what is needed of the event loop.
+type Loop interface {
+	Now() int64
+	Unix() int64
+}
+
+// Table is the table of keys of this process.
+type Table interface {
+	// Heard takes what another process has written of a key; forgotten: its run never began.
+	Heard(k core.Kept, forgotten bool)
+	// Orphaned tells that the process of a life is dead: what it has not written an end of may have run.
+	Orphaned(life uint32)
+	// Known gives what is known of keys whose runs this process began, whose window is not over.
+	Known(fn func(core.Kept))
+}
+
+// Config is where claims are kept, and for whom. Times are microseconds.
+type Config struct {
+	Dir    string // that all processes of the runner have
+	Runner string // tells its processes from those of others
+	Life   uint32
+	Window int64 // the longest for which a key is remembered
+	Most   int64 // bytes of results that are written when another process comes
+	// Beside is told how many other processes live, whenever that changes.
+	Beside func(living int)
+	After  func(d int64, fn func())
+}
+
+// Ledger is the claims of one process, and what it has read of the others'.
+type Ledger struct {
+	loop   Loop
+	cfg    Config
+	table  Table
+	base   string // path of all files, up to what tells them apart
+	lock   *os.File
+	alive  *os.File
+	log    *os.File
+	gen    uint64
+	size   int64 // of the log
+	least  int64 // size from which on it is written anew
+	epoch  uint64
+	peers  map[uint32]*peer
+	told   int
+	serves bool // this process takes connections
+	swept  int64
+	down   string // why nothing can be claimed, as was told last
+	frame  []byte
+}
+
+// peer is another process.
+type peer struct {
+	life   uint32
+	gen    uint64
+	log    *os.File
+	alive  *os.File
+	at     int64
+	living bool
+	ready  bool
+	keys   int
+}
+
+// Open takes part among the processes of the runner. What the others have claimed is read before it returns.
+func Open(l Loop, cfg Config, table Table) (*Ledger, error) {
+	h := fnv.New64a()
+	h.Write([]byte(cfg.Runner))
+	g := &Ledger{loop: l, cfg: cfg, table: table, base: filepath.Join(cfg.Dir, fmt.Sprintf("ryepaddle-%016x", h.Sum64())),
+		peers: map[uint32]*peer{}, least: newLogFrom, told: -1}
+	if err := g.open(); err != nil {
+		g.Close()
+		return nil, fmt.Errorf("claims: %w", err)
+	}
+	g.tell()
+	g.poll()
+	return g, nil
+}
+
+func (g *Ledger) open() (err error) {
+	if g.lock, err = os.OpenFile(g.base+".lock", os.O_RDWR|os.O_CREATE, 0o600); err != nil {
+		return err
+	}
+	for began := time.Now(); !hold(g.lock); time.Sleep(time.Millisecond) {
+		if time.Since(began) > openWithin {
+			return ErrBusy
+		}
+	}
+	defer release(g.lock)
+	if g.alive, err = os.OpenFile(g.aliveName(g.cfg.Life), os.O_RDWR|os.O_CREATE|os.O_EXCL, 0o600); err != nil {
+		return err
+	}
+	if !hold(g.alive) {
+		return ErrBusy
+	}
+	if err = g.newLog(nil); err != nil {
+		return err
+	}
+	return g.scan() // the number is of this process's own making, and tells nothing of what was there before
+}
+
+func (g *Ledger) aliveName(life uint32) string { return fmt.Sprintf("%s.%08x.alive", g.base, life) }
+func (g *Ledger) logName(life uint32, gen uint64) string {
+	return fmt.Sprintf("%s.%08x.%d.log", g.base, life, gen)
+}
+
+// Close gives everything back but the files, which the others go by.
+func (g *Ledger) Close() {
+	for _, f := range []*os.File{g.lock, g.log, g.alive} {
+		if f != nil {
+			f.Close()
+		}
+	}
+	for _, p := range g.peers {
+		p.close()
+	}
+	g.lock = nil
+}
+
+func (p *peer) close() {
+	p.log.Close()
+	if p.alive != nil {
+		p.alive.Close()
+	}
+}
+
+// hold takes a kernel lock, if it is free. It goes with the process that has it.
+func hold(f *os.File) bool { return unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB) == nil }
+func release(f *os.File)   { _ = unix.Flock(int(f.Fd()), unix.LOCK_UN) }
+
+// isHeld tells whether another process holds the lock of a file.
+func isHeld(f *os.File) bool {
+	if unix.Flock(int(f.Fd()), unix.LOCK_SH|unix.LOCK_NB) != nil {
+		return true
+	}
+	release(f)
+	return false
+}
+
+// readEpoch reads the number that grows whenever there are other files than before. It stands in the shared lock's file.
+func (g *Ledger) readEpoch() uint64 {
+	var b [8]byte
+	_, _ = unix.Pread(int(g.lock.Fd()), b[:], 0) // one that was never written is nought
+	return binary.LittleEndian.Uint64(b[:])
+}
+
+func (g *Ledger) bumpEpoch() error {
+	g.epoch = g.readEpoch() + 1
+	_, err := g.lock.WriteAt(binary.LittleEndian.AppendUint64(nil, g.epoch), 0)
+	return err
+}
+
+// newLog begins a log with what is known, in place of the one that there is. The shared lock is held.
+func (g *Ledger) newLog(known func(func(core.Kept))) error {
+	name := g.logName(g.cfg.Life, g.gen+1)
+	f, err := os.OpenFile(name, os.O_RDWR|os.O_CREATE|os.O_EXCL, 0o600)
+	if err != nil {
+		return err
+	}
+	var b []byte
+	if known != nil {
+		add := func(r *store.Record) {
+			if err == nil {
+				b, err = store.AppendFrame(b, r)
+			}
+		}
+		known(func(k core.Kept) { add(g.record(k)) })
+		if g.serves {
+			add(&store.Record{Kind: store.Mark})
+		}
+	}
+	if err == nil {
+		_, err = f.WriteAt(b, 0)
+	}
+	if err == nil {
+		err = g.bumpEpoch()
+	}
+	if err != nil {
+		f.Close()
+		os.Remove(name)
+		return err
+	}
+	if g.log != nil {
+		g.log.Close()
+		os.Remove(g.logName(g.cfg.Life, g.gen))
+	}
+	g.log, g.size = f, int64(len(b))
+	g.gen++
+	g.least = max(newLogFrom, 2*g.size)
+	return nil
+}
+
+// record is what is written of a key. Results are for others: alone, nobody reads them.
+func (g *Ledger) record(k core.Kept) *store.Record {
+	kind := store.Begun
+	if k.Ended && g.living() > 0 {
+		kind = store.Ended
+	}
+	return keeper.Record(kind, k, g.loop.Unix())
+}
+
+func (g *Ledger) append(r *store.Record) error {
+	if g.lock == nil {
+		return os.ErrClosed
+	}
+	var err error
+	if g.frame, err = store.AppendFrame(g.frame[:0], r); err != nil {
+		return err
+	}
+	// At its place and not at the end: what a full disk took half of is written over.
+	if _, err = g.log.WriteAt(g.frame, g.size); err != nil {
+		_ = g.log.Truncate(g.size)
+		return err
+	}
+	g.size += int64(len(g.frame))
+	return nil
+}
+
+// Claim has it written that a run begins. Under the lock, once what others have written is read, free is asked whether the key is
+// still ours. Done is called once, with whether it is; an error: it is not known, and nothing may run.
+func (g *Ledger) Claim(k core.Kept, within int64, free func() bool, done func(mine bool, err error)) {
+	if g.lock == nil {
+		done(false, os.ErrClosed)
+		return
+	}
+	if !hold(g.lock) {
+		if within < tryAgain {
+			done(false, ErrBusy)
+			return
+		}
+		g.cfg.After(tryAgain, func() { g.Claim(k, within-tryAgain, free, done) })
+		return
+	}
+	mine := false
+	err := g.look()
+	if err == nil {
+		if mine = free(); mine {
+			err = g.append(g.record(k))
+		}
+	}
+	if err == nil && g.size > g.least {
+		// It may stay as long as it is: that the disk has no room for another is no reason to turn a run away.
+		if e := g.newLog(g.table.Known); e != nil {
+			g.least *= 2
+			g.failed(e)
+		}
+	}
+	release(g.lock)
+	g.failed(err)
+	done(mine && err == nil, err)
+}
+
+// failed tells of an error that was not there before.
+func (g *Ledger) failed(err error) {
+	why := ""
+	if err != nil {
+		why = err.Error()
+	}
+	if why != g.down && why != "" {
+		evFailed.Log(err)
+	}
+	g.down = why
+}
+
+// Ended has an end written, for those who wait for it in other processes.
+func (g *Ledger) Ended(k core.Kept) {
+	if g.living() > 0 {
+		g.failed(g.append(g.record(k)))
+	}
+}
+
+// Forgot has it written that a run which was claimed never began.
+func (g *Ledger) Forgot(k core.Kept) {
+	g.failed(g.append(keeper.Record(store.Forgotten, k, g.loop.Unix())))
+}
+
+// Serves has it written that this process takes connections.
+func (g *Ledger) Serves() {
+	g.serves = true
+	g.failed(g.append(&store.Record{Kind: store.Mark}))
+}
+
+// living is how many other processes live.
+func (g *Ledger) living() (n int) {
+	for _, p := range g.peers {
+		if p.living {
+			n++
+		}
+	}
+	return n
+}
+
+// Beside tells how many other processes live now, and whether one of them serves.
+func (g *Ledger) Beside() (living int, serves bool) {
+	if g.lock != nil { // what came since the last poll counts
+		g.failed(g.look())
+	}
+	for _, p := range g.peers {
+		serves = serves || p.living && p.ready
+	}
+	return g.living(), serves
+}
+
+// poll reads what others write as long as the ledger is open.
+func (g *Ledger) poll() {
+	if g.lock == nil {
+		return
+	}
+	g.failed(g.look())
+	wait := int64(pollAlone)
+	if g.tell(); g.living() > 0 {
+		wait = pollOften
+	}
+	if now := g.loop.Now(); now > g.swept+sweepEvery && hold(g.lock) {
+		g.swept = now
+		g.sweep()
+		release(g.lock)
+	}
+	g.cfg.After(wait, g.poll)
+}
+
+// tell tells how many others live. To one that is new all that is known is written.
+func (g *Ledger) tell() {
+	n := g.living()
+	if n == g.told {
+		return
+	}
+	grown := n > max(g.told, 0) && g.told >= 0
+	if g.told = n; grown {
+		left := g.cfg.Most
+		g.table.Known(func(k core.Kept) {
+			if r := g.record(k); k.Ended && left > 0 {
+				if r.Result != nil {
+					left -= int64(len(r.Result.Body))
+				}
+				g.failed(g.append(r))
+			}
+		})
+	}
+	if g.cfg.Beside != nil {
+		g.cfg.Beside(n)
+	}
+}
+
+// look reads what others have written since it was read last.
+func (g *Ledger) look() error {
+	if e := g.readEpoch(); e != g.epoch {
+		if err := g.scan(); err != nil {
+			return err
+		}
+		g.epoch = e
+	}
+	for life, p := range g.peers {
+		was := p.living
+		p.living = p.living && isHeld(p.alive)
+		if err := g.read(p); err != nil { // after it was seen to be dead, so that all is read
+			return err
+		}
+		if was && !p.living {
+			evGone.Log(fmt.Sprintf("%08x", life))
+			g.table.Orphaned(life)
+		}
+	}
+	return nil
+}
+
+// scan finds the logs of others.
+func (g *Ledger) scan() error {
+	names, err := filepath.Glob(g.base + ".*.log")
+	if err != nil {
+		return err
+	}
+	for _, name := range names {
+		life, gen, ok := g.parse(name)
+		p := g.peers[life]
+		if !ok || life == g.cfg.Life || p != nil && p.gen >= gen {
+			continue
+		}
+		log, err := os.Open(name)
+		if errors.Is(err, os.ErrNotExist) { // it is written anew just now, and there is another
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		if p != nil {
+			if err := g.read(p); err != nil {
+				log.Close()
+				return err
+			}
+			p.log.Close()
+			p.log, p.gen, p.at = log, gen, 0
+			continue
+		}
+		p = &peer{life: life, gen: gen, log: log}
+		if p.alive, err = os.Open(g.aliveName(life)); err == nil {
+			p.living = isHeld(p.alive)
+		}
+		g.peers[life] = p
+		if err := g.read(p); err != nil {
+			return err
+		}
+		if evJoined.Log(fmt.Sprintf("%08x", life), p.living, p.keys); !p.living {
+			g.table.Orphaned(life)
+		}
+	}
+	return nil
+}
+
+func (g *Ledger) parse(name string) (life uint32, gen uint64, ok bool) {
+	a, b, ok := strings.Cut(strings.TrimSuffix(strings.TrimPrefix(name, g.base+"."), ".log"), ".")
+	l, err := strconv.ParseUint(a, 16, 32)
+	n, err2 := strconv.ParseUint(b, 10, 64)
+	return uint32(l), n, ok && err == nil && err2 == nil
+}
+
+// read takes the records that a process has written since. One that is not whole yet is read again later; of a process that is dead
+// it never will be.
+func (g *Ledger) read(p *peer) error {
+	var b []byte
+	part := make([]byte, readPart)
+	for {
+		n, err := unix.Pread(int(p.log.Fd()), part, p.at+int64(len(b)))
+		if err != nil {
+			return fmt.Errorf("%s: %w", p.log.Name(), err)
+		}
+		b = append(b, part[:n]...)
+		used := 0
+		for {
+			r, size, err := store.ReadFrame(b[used:])
+			if err != nil {
+				break
+			}
+			used += size
+			g.take(p, r)
+		}
+		p.at += int64(used)
+		if b = b[used:]; n < len(part) {
+			return nil
+		}
+	}
+}
+
+func (g *Ledger) take(p *peer, r *store.Record) {
+	switch r.Kind {
+	case store.Mark:
+		p.ready = true
+	case store.Begun, store.Ended, store.Forgotten:
+		p.keys++
+		g.table.Heard(keeper.KeptOf(r), r.Kind == store.Forgotten)
+	}
+}
+
+// sweep removes files of the dead of which no key can be asked for any more. The shared lock is held.
+func (g *Ledger) sweep() {
+	old := time.Now().Add(-time.Duration(g.cfg.Window) * time.Microsecond)
+	for life, p := range g.peers {
+		st, err := p.log.Stat()
+		if p.living || err == nil && st.ModTime().After(old) {
+			continue
+		}
+		p.close()
+		delete(g.peers, life)
+		os.Remove(p.log.Name())
+		os.Remove(g.aliveName(life))
+	}
+}
--- /dev/null
+++ b/internal/claims/claims_test.go
@@ -0,0 +1,276 @@
+package claims
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"shalesail/internal/core"
+	"shalesail/internal/store"
+)
+
+// process is one of several that are one runner, on a clock of the test's own. Its table is a list of what it was told.
+type process struct {
+	t      *testing.T
+	now    int64
+	timers []func()
+	ledger *Ledger
+	known  []core.Kept
+	theirs map[string]bool
+	seen   []string
+	beside int
+}
+
+func (p *process) Now() int64  { return p.now }
+func (p *process) Unix() int64 { return p.now }
+
+func (p *process) Heard(k core.Kept, forgotten bool) {
+	p.theirs[k.Key] = !forgotten
+	text := "begun " + k.Key
+	if k.Ended {
+		text = "ended " + k.Key
+		if k.Result != nil {
+			text += " " + string(k.Result.Body)
+		}
+	}
+	if forgotten {
+		text = "forgotten " + k.Key
+	}
+	p.seen = append(p.seen, text)
+}
+func (p *process) Orphaned(life uint32) { p.seen = append(p.seen, fmt.Sprintf("orphaned %d", life)) }
+func (p *process) Known(fn func(core.Kept)) {
+	for _, k := range p.known {
+		fn(k)
+	}
+}
+
+func start(t *testing.T, dir string, life uint32) *process {
+	t.Helper()
+	p := &process{t: t, now: 1_000_000, theirs: map[string]bool{}}
+	var err error
+	p.ledger, err = Open(p, Config{Dir: dir, Runner: "n0 127.0.0.1:1", Life: life, Window: 1_000_000, Most: 100,
+		After: func(_ int64, fn func()) { p.timers = append(p.timers, fn) }, Beside: func(n int) { p.beside = n }}, p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.ledger.Close)
+	return p
+}
+
+// kill ends a process as SIGKILL does: the kernel gives its locks back, and its files stay.
+func (p *process) kill() { p.ledger.Close() }
+
+// pass runs the timers that are set.
+func (p *process) pass() {
+	timers := p.timers
+	p.timers = nil
+	for _, fn := range timers {
+		fn()
+	}
+}
+
+// claim tries to claim a key and tells what came of it.
+func (p *process) claim(key string) (out string) {
+	k := core.Kept{Class: "hand-in", Key: key, Owner: uint64(p.ledger.cfg.Life) << 32, Until: 10_000_000}
+	p.ledger.Claim(k, 3*tryAgain, func() bool { return !p.theirs[key] }, func(mine bool, err error) {
+		switch out = "theirs"; {
+		case err != nil:
+			out = err.Error()
+		case mine:
+			out = "mine"
+			p.known = append(p.known, k)
+		}
+	})
+	for range 10 {
+		if out != "" {
+			break
+		}
+		p.pass()
+	}
+	return out
+}
+
+func (p *process) expect(want ...string) {
+	p.t.Helper()
+	if diff := cmp.Diff(want, p.seen); diff != "" {
+		p.t.Errorf("(-want +got)\n%s", diff)
+	}
+	p.seen = nil
+}
+
+func (p *process) claims(key, want string) {
+	p.t.Helper()
+	if got := p.claim(key); got != want {
+		p.t.Errorf("key %s: %s, want %s", key, got, want)
+	}
+}
+
+func TestOneOfTwoRunsAKey(t *testing.T) {
+	dir := t.TempDir()
+	one := start(t, dir, 1)
+	one.claims("a", "mine")
+	two := start(t, dir, 2)
+	two.expect("begun a") // what ran before it began counts
+	two.claims("a", "theirs")
+	two.claims("b", "mine")
+	one.claims("b", "theirs") // though nothing was polled in between
+	one.expect("begun b")
+	one.ledger.Forgot(one.known[0])
+	two.pass()
+	two.expect("forgotten a")
+	two.claims("a", "mine")
+	if one.pass(); one.beside != 1 || two.beside != 1 {
+		t.Errorf("%d and %d processes beside", one.beside, two.beside)
+	}
+}
+
+func TestResultsReachAnother(t *testing.T) {
+	dir := t.TempDir()
+	one := start(t, dir, 1)
+	one.claims("a", "mine")
+	one.claims("b", "mine")
+	one.claims("c", "mine")
+	for i, text := range []string{"one", strings.Repeat("x", 200)} { // the second is over what is written at once
+		one.known[i].Ended, one.known[i].Result = true, &core.Result{Status: 200, Body: []byte(text)}
+		one.ledger.Ended(one.known[i]) // nobody is there to read it
+	}
+	two := start(t, dir, 2)
+	two.expect("begun a", "begun b", "begun c")
+	one.pass()
+	two.pass()
+	two.expect("ended a one", "ended b "+strings.Repeat("x", 200))
+	one.known[2].Ended, one.known[2].Result = true, &core.Result{Status: 200, Body: []byte("three")}
+	one.ledger.Ended(one.known[2])
+	two.pass()
+	two.expect("ended c three")
+}
+
+func TestProcessIsKilled(t *testing.T) {
+	for name, x := range map[string]struct {
+		cut  int64 // bytes of its last record that were not written
+		seen []string
+		last string // whose the key of the last record is then
+	}{
+		"after a claim":      {0, []string{"begun a", "begun b", "orphaned 1"}, "theirs"},
+		"in the last byte":   {1, []string{"begun a", "orphaned 1"}, "mine"},
+		"in a record's head": {1000, []string{"begun a", "orphaned 1"}, "mine"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, before := range []bool{false, true} { // the other is there already, or comes later
+				dir := t.TempDir()
+				one := start(t, dir, 1)
+				var two *process
+				if before {
+					two = start(t, dir, 2)
+				}
+				one.claims("a", "mine")
+				whole := one.ledger.size
+				one.claims("b", "mine")
+				left := max(one.ledger.size-x.cut, whole+3)
+				if x.cut == 0 {
+					left = one.ledger.size
+				}
+				if err := one.ledger.log.Truncate(left); err != nil {
+					t.Fatal(err)
+				}
+				one.kill()
+				if !before {
+					two = start(t, dir, 2)
+				}
+				two.pass()
+				two.expect(x.seen...)
+				two.claims("b", x.last)
+				two.claims("a", "theirs")
+				if two.beside != 0 {
+					t.Errorf("%d processes beside", two.beside)
+				}
+			}
+		})
+	}
+}
+
+// A process that is stopped while it holds the lock costs the claims of others, and not their loops.
+func TestLockIsHeld(t *testing.T) {
+	dir := t.TempDir()
+	one, two := start(t, dir, 1), start(t, dir, 2)
+	if !hold(one.ledger.lock) {
+		t.Fatal("the lock is held by nobody, and is not free")
+	}
+	two.claims("a", ErrBusy.Error())
+	release(one.ledger.lock)
+	two.claims("a", "mine")
+}
+
+// A log is written anew with what its window still needs. Whoever reads it reads on in the new one.
+func TestLogIsWrittenAnew(t *testing.T) {
+	dir := t.TempDir()
+	one, two := start(t, dir, 1), start(t, dir, 2)
+	one.ledger.Serves()
+	one.ledger.least = 1000
+	for i := range 40 {
+		one.claims(fmt.Sprint(i), "mine")
+		one.known = one.known[max(len(one.known)-3, 0):] // the windows of others are over
+	}
+	if one.ledger.gen < 2 || one.ledger.size > newLogFrom {
+		t.Errorf("log %d of %d bytes", one.ledger.gen, one.ledger.size)
+	}
+	files, err := filepath.Glob(filepath.Join(dir, "*.log"))
+	if err != nil || len(files) != 2 {
+		t.Errorf("%v, %v", files, err)
+	}
+	if two.claims("39", "theirs"); len(two.theirs) < 4 {
+		t.Errorf("of 40 claims %d were heard", len(two.theirs))
+	}
+	if _, serves := two.ledger.Beside(); !serves {
+		t.Error("that it serves is not in its new log")
+	}
+}
+
+func TestFilesOfTheDeadGo(t *testing.T) {
+	dir := t.TempDir()
+	one := start(t, dir, 1)
+	one.claims("a", "mine")
+	one.kill()
+	old := filepath.Join(dir, "something-else.log")
+	if err := os.WriteFile(old, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	two := start(t, dir, 2)
+	two.ledger.cfg.Window = -1_000_000 // it is over
+	two.now += 2 * sweepEvery
+	two.pass()
+	files, err := filepath.Glob(filepath.Join(dir, "*"))
+	if err != nil || len(files) != 4 { // the lock, its own two, and what is not ours
+		t.Errorf("%v, %v", files, err)
+	}
+}
+
+// A disk without room refuses the run; what it took half of is written over.
+func TestRecordThatWasHalfWritten(t *testing.T) {
+	dir := t.TempDir()
+	one, two := start(t, dir, 1), start(t, dir, 2)
+	whole := one.ledger.log
+	if one.ledger.log, _ = os.Open(whole.Name()); one.ledger.log == nil { // not for writing
+		t.Fatal("no log")
+	}
+	if got := one.claim("a"); got == "mine" || got == "theirs" {
+		t.Errorf("a claim that cannot be written is %s", got)
+	}
+	one.ledger.log.Close()
+	one.ledger.log = whole
+	frame, err := store.AppendFrame(nil, &store.Record{Kind: store.Begun, Name: store.Name{Key: "z"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := whole.WriteAt(frame[:len(frame)/2], one.ledger.size); err != nil {
+		t.Fatal(err)
+	}
+	one.claims("b", "mine")
+	two.claims("b", "theirs")
+	two.expect("begun b")
+}
--- /dev/null
+++ b/internal/core/claims.go
@@ -0,0 +1,165 @@
+package core
+
+import "shalesail"
+
+// Claims settle between the processes of one runner which of them runs a key.
+type Claims interface {
+	// Claim has it written that a run begins, unless the key is another's: free is asked once all that others have written was
+	// heard. Done is called once, now or later; an error: nothing may run.
+	Claim(k Kept, within int64, free func() bool, done func(mine bool, err error))
+	Ended(k Kept)
+	Forgot(k Kept)
+}
+
+const (
+	claimWithin = 200_000   // a claim that takes longer is given up
+	claimBack   = 1_000_000 // and its caller stays away for so long
+)
+
+// claim has a run claimed, and then begins it.
+func (c *Core) claim(r *request) {
+	a, e := c.newAttempt(r, nil), r.entry
+	a.pending, r.running = true, a
+	c.host.Claims.Claim(c.kept(r), claimWithin, func() bool { return e.elsewhere == 0 }, func(mine bool, err error) {
+		a.pending = false
+		switch {
+		case e.elsewhere != 0:
+			a.over, r.running = true, nil
+			c.yield(r)
+		case err != nil:
+			c.host.Log(evRunUnkept, a.Class, r.Name, err)
+			c.unbegun(r, a, CauseDisk, claimBack)
+		case r.answered || c.late(r) || c.host.Now() >= r.due-lateBy:
+			c.unbegun(r, a, CauseNone, 0)
+		case c.host.Keeper != nil:
+			c.begin(r)
+		default:
+			c.run(r)
+		}
+		c.settle()
+	})
+}
+
+// unbegun ends an attempt that was to begin and did not.
+func (c *Core) unbegun(r *request, a *Attempt, cause Cause, back int64) {
+	r.trail.because(cause, 0, 0)
+	if c.host.Claims != nil {
+		c.host.Claims.Forgot(c.kept(r))
+	}
+	r.running, a.over = nil, true
+	c.forgetEntry(r.entry)
+	c.answer(r, Answer{Kind: Refused, ComeBack: back})
+	c.gate.report(shalesail.Event{Kind: shalesail.EventDone, Request: r.id, Outcome: shalesail.Moot})
+	c.settle()
+	c.drop(r)
+}
+
+// yield has a request that was to run here wait for the run of another process. To the module it is over.
+func (c *Core) yield(r *request) {
+	c.gate.report(shalesail.Event{Kind: shalesail.EventDone, Request: r.id, Outcome: shalesail.Moot})
+	if !r.answered {
+		c.await(r)
+	}
+	c.settle()
+	c.drop(r)
+}
+
+// await answers a request once the run of another process is known to have ended, or in time.
+func (c *Core) await(r *request) {
+	e := r.entry
+	if e.ended {
+		c.finishReuse(r, e)
+		return
+	}
+	r.waits = true
+	e.waiters = append(e.waiters, r)
+	c.host.After(max(r.due-lateBy-c.host.Now(), 0), func() {
+		if !r.answered {
+			r.trail.because(Cause(shalesail.CauseOverdue), 0, 0)
+			c.answer(r, Answer{Kind: Late})
+			c.drop(r)
+		}
+	})
+}
+
+// Heard takes what another process has written of a key. Forgotten: its run never began.
+func (c *Core) Heard(k Kept, forgotten bool) {
+	class := c.set.Class(k.Class)
+	tenant, ok := -1, true
+	if k.Tenant != "" {
+		tenant, ok = c.Tenant(k.Tenant)
+	}
+	if class < 0 || !ok {
+		return // no request can name it
+	}
+	name := keyName{class, tenant, k.Key}
+	e := c.keys.byName[name]
+	switch {
+	case e != nil && e.elsewhere == 0 && e.ran && !c.toBegin(e) && !(e.ended && k.Until > e.until):
+		return // it is ours, and by the lock not another's before its window is over; or it was kept in an earlier life
+	case e != nil && e.elsewhere != 0 && e.owner != k.Owner && k.Until < e.until:
+		return // it is older than what is known
+	case forgotten && (e == nil || e.owner != k.Owner || e.elsewhere == 0 || e.ended):
+		return
+	case forgotten:
+		c.forgetEntry(e)
+		c.settle()
+		return
+	case e == nil:
+		e = &entry{name: name}
+		c.keys.byName[name] = e
+	case e.elsewhere != 0 && e.owner == k.Owner && e.ended:
+		return // it is told again
+	}
+	if e.owner != k.Owner && e.result != nil { // an older run, whose window is over
+		c.keys.bytes -= e.result.size()
+		e.result = nil
+	}
+	e.elsewhere, e.owner, e.restored, e.ran, e.ended = uint32(k.Owner>>32), k.Owner, true, true, false
+	e.body, e.until = k.Body, max(k.Until, e.until)
+	if k.Ended {
+		c.endElsewhere(e, k.How, k.Result, false)
+	}
+}
+
+// toBegin tells whether the run of a key waits for its claim.
+func (c *Core) toBegin(e *entry) bool {
+	r := c.requests[e.owner]
+	return r != nil && r.entry == e && r.running != nil && r.running.pending
+}
+
+// endElsewhere notes how a run in another process ended, and answers those who wait for it.
+func (c *Core) endElsewhere(e *entry, how Kind, res *Result, doubt bool) {
+	e.ended, e.failed, e.doubt = true, how, doubt
+	if res != nil && c.keys.bytes+res.size() <= c.keys.most.ResultBytes {
+		e.result = res
+		c.keys.bytes += res.size()
+	} else if res != nil {
+		e.failed = Ran
+	}
+	waiters := e.waiters
+	e.waiters = nil
+	for _, w := range waiters {
+		c.finishReuse(w, e)
+	}
+	c.settle()
+}
+
+// Orphaned tells that a process is dead. What it has not told the end of may have run.
+func (c *Core) Orphaned(life uint32) {
+	for _, e := range c.keys.byName {
+		if e.elsewhere == life && !e.ended {
+			c.endElsewhere(e, Failed, nil, true)
+		}
+	}
+}
+
+// Known gives what is known of keys whose runs were begun here, and whose window is not over.
+func (c *Core) Known(fn func(Kept)) {
+	now := c.host.Unix()
+	for _, e := range c.keys.byName {
+		if e.elsewhere == 0 && e.ran && !c.toBegin(e) && now <= e.until+lateRead {
+			fn(c.keptOf(e))
+		}
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -227,7 +227,8 @@
 	Log    func(e *logs.Event, values ...any) // nil: the log of the process
 	Limits Limits                             // of the table of keys
 	Keeper Keeper                             // nil: keys do not outlive the program
-	Life   uint64                             // with a Keeper: tells this life of the program from others; 32 bits count
+	Claims Claims                             // nil: no other process serves as this runner
+	Life   uint64                             // with a Keeper or Claims: tells this life of the program from others; 32 bits count
 	Trails func(*Trail)                       // hears what became of each request, once it is answered; nil: nobody does
 	Seen   func(*Request)                     // hears of each request that is taken in; nil: nobody does
 }
@@ -355,6 +356,9 @@
 // Keyed tells whether requests of the class carry a key.
 func (c *Core) Keyed(class int) bool { return c.set.Classes[class].Effect == shalesail.Keyed }
 
+// Idle tells whether nothing is open, and nothing runs.
+func (c *Core) Idle() bool { return len(c.requests) == 0 }
+
 // Open is how many requests are owed an answer.
 func (c *Core) Open() int { return c.open }
 
@@ -382,7 +386,7 @@
 			if r.entry.body != bodyOf(q) {
 				return c.misused(q, KeyTaken)
 			}
-			if r.entry.restored {
+			if r.entry.restored && r.entry.ended {
 				c.recall(q, r.entry)
 				return 0
 			}
@@ -405,6 +409,10 @@
 		r.due = min(r.due, now-queued+q.Due)
 		r.stop = c.host.After(r.due-now, func() { c.expire(r) })
 	}
+	if r.entry != nil && r.entry.elsewhere != 0 { // nothing runs here, so that the module need not hear of it
+		c.await(r)
+		return Ticket(r.id)
+	}
 	if class.Effect == shalesail.Keyed && r.entry == nil && c.keys.full() {
 		c.unkept(class.Name, "the table of keys is full")
 		r.trail.because(CauseKeyTable, float64(len(c.keys.byName)), float64(c.keys.most.Keys))
@@ -682,6 +690,10 @@
 // start begins an attempt. It is the one place where something is run, and so the last guard of two rules.
 func (c *Core) start(r *request) {
 	class := &c.set.Classes[r.Class]
+	if !r.answered && r.entry != nil && r.entry.elsewhere != 0 { // another process was first
+		c.yield(r)
+		return
+	}
 	if r.answered || r.running != nil || c.late(r) || class.Effect == shalesail.Keyed && !c.keys.mayRun(r) {
 		c.host.Log(evNotRun, class.Name, r.Name)
 		c.answer(r, Answer{Kind: Failed})
@@ -690,6 +702,10 @@
 	}
 	if r.entry != nil {
 		r.entry.run(r.Arrived, class.Window.Microseconds())
+		if c.host.Claims != nil {
+			c.claim(r)
+			return
+		}
 		if c.host.Keeper != nil {
 			c.begin(r)
 			return
--- a/internal/core/keeper.go
+++ b/internal/core/keeper.go
@@ -84,9 +84,17 @@
 
 // kept is what is to be kept of a request's key.
 func (c *Core) kept(r *request) Kept {
-	k := Kept{Class: c.set.Classes[r.Class].Name, Key: r.Key, Owner: c.host.Life<<32 | r.id&(1<<32-1), Until: r.entry.until, Body: r.entry.body}
-	if r.Tenant >= 0 {
-		k.Tenant = c.set.Tenants[r.Tenant].Name
+	k := c.keptOf(r.entry)
+	k.Owner = c.host.Life<<32 | r.id&(1<<32-1)
+	return k
+}
+
+// keptOf is what there is to be kept of a key.
+func (c *Core) keptOf(e *entry) Kept {
+	k := Kept{Class: c.set.Classes[e.name.class].Name, Key: e.name.key, Owner: c.host.Life<<32 | e.owner&(1<<32-1), Until: e.until, Body: e.body,
+		Ended: e.ended, How: e.failed, Result: e.result}
+	if e.name.tenant >= 0 {
+		k.Tenant = c.set.Tenants[e.name.tenant].Name
 	}
 	return k
 }
@@ -125,15 +133,9 @@
 		c.run(r)
 		return
 	}
-	r.trail.because(CauseDisk, 0, 0)
 	c.host.Keeper.Forgot(k)
-	r.running, a.over = nil, true
 	back, _ := c.host.Keeper.Closed()
-	c.forgetEntry(r.entry)
-	c.answer(r, Answer{Kind: Refused, ComeBack: back})
-	c.gate.report(shalesail.Event{Kind: shalesail.EventDone, Request: r.id, Outcome: shalesail.Moot})
-	c.settle()
-	c.drop(r)
+	c.unbegun(r, a, CauseDisk, back)
 }
 
 // hold has the end of a run kept, and then answers it and its repeats. The module hears at once that the run is over; the
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -28,6 +28,8 @@
 	// Of one that was kept in an earlier life of the program:
 	restored bool
 	doubt    bool // it had begun, and did not end
+	// The life of the process that runs it, where that is another of this runner; 0: this one.
+	elsewhere uint32
 }
 
 // keyTable remembers keyed requests for both fronts.
@@ -127,7 +129,7 @@
 	}
 	t.swept = now
 	for _, e := range t.byName {
-		if now > e.until+lateRead && (e.ended || !e.ran) && len(e.waiters) == 0 {
+		if now > e.until+lateRead && (e.ended || !e.ran || e.elsewhere != 0) && len(e.waiters) == 0 {
 			t.remove(e)
 		}
 	}
@@ -137,6 +139,9 @@
 func (c *Core) settleKey(r *request, o Outcome, res *Result) {
 	e := r.entry
 	if neverRan(o) { // proof that nothing ran: another try may
+		if c.host.Claims != nil {
+			c.host.Claims.Forgot(c.keptOf(e))
+		}
 		c.forgetEntry(e)
 		return
 	}
@@ -145,6 +150,9 @@
 		e.result = res
 		c.keys.bytes += res.size()
 	}
+	if c.host.Claims != nil {
+		c.host.Claims.Ended(c.keptOf(e))
+	}
 	waiters := e.waiters
 	e.waiters = nil
 	for _, w := range waiters {
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -36,6 +36,7 @@
 	askWithin   = 2_000_000  // the first whole request of a connection comes within so long
 	readWithin  = 2_000_000  // and each further one, once it has begun
 	takeWithin  = 10_000_000 // a peer takes what it is sent
+	firstWithin = 300_000    // what was taken from the queue as the front left brings its request by then
 	youngFor    = 100_000    // a connection that was just taken does not have to make room
 	largeUnread = 8
 	roomFor     = 16      // connections that are closed at once when others wait
@@ -58,6 +59,7 @@
 	idle    int64
 	partial int // bytes of requests that have not come whole
 	leaving bool
+	retired bool // another process serves in its place
 	// What goes with answers.
 	pressure     string
 	stored, good bool
@@ -80,7 +82,11 @@
 }
 
 // SetMost says how many connections are taken at once from now on.
-func (f *Front) SetMost(most int) { f.ln.SetMost(most) }
+func (f *Front) SetMost(most int) {
+	if f.ln != nil {
+		f.ln.SetMost(most)
+	}
+}
 
 // limits bound the buffers of a connection.
 func (f *Front) limits() loop.Limits { return loop.Limits{In: maxRecord, Out: f.maxOut} }
@@ -106,7 +112,11 @@
 func (f *Front) SetHealth(stored, good bool) { f.stored, f.good = stored, good }
 
 // SetPressure sets the free value that goes with each answer.
-func (f *Front) SetPressure(v float64) { f.pressure = strconv.FormatFloat(v, 'f', 4, 64) }
+func (f *Front) SetPressure(v float64) {
+	if !f.retired {
+		f.pressure = strconv.FormatFloat(v, 'f', 4, 64)
+	}
+}
 
 // SetIdle has connections closed that are idle for so long.
 func (f *Front) SetIdle(us int64) { f.idle = us }
@@ -118,6 +128,12 @@
 	f.sweep()
 }
 
+// Retire is Leave where another process serves as this runner: what this one says of its own room is not meant for it.
+func (f *Front) Retire() {
+	f.retired, f.pressure = true, ""
+	f.Leave()
+}
+
 // Conns is how many connections are open.
 func (f *Front) Conns() int { return len(f.conns) }
 
@@ -138,7 +154,7 @@
 		case !c.asked && now-c.began > askWithin || c.late(now):
 			evIdle.Log()
 			c.Close(nil)
-		case len(c.open) == 0 && (f.leaving || f.idle > 0 && now-c.used > f.idle):
+		case len(c.open) == 0 && (f.leaving && (c.asked || now-c.began > firstWithin) || f.idle > 0 && now-c.used > f.idle):
 			c.Leave()
 		}
 	}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -191,3 +191,8 @@
 	}
 	return c
 }
+
+// KeptOf is what a record says of a key.
+func KeptOf(r *store.Record) core.Kept {
+	return kept(&store.Key{Name: r.Name, Owner: r.Owner, Until: r.Until, Body: r.Body, Ended: r.Kind == store.Ended, How: r.How, Result: r.Result})
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -17,6 +17,7 @@
 	socket *loop.Datagram
 	name   string
 	state  string
+	over   bool
 }
 
 // Start reports at once and from then on.
@@ -55,5 +56,12 @@
 	}
 }
 
+// Stop ends the reports, without a word: another process of this runner goes on with them.
+func (r *Reporter) Stop() { r.over = true }
+
 // report sends one datagram. One that is lost is made good by the next.
-func (r *Reporter) report() { _ = r.socket.Send([]byte("HERE " + r.name + " " + r.state)) }
+func (r *Reporter) report() {
+	if !r.over {
+		_ = r.socket.Send([]byte("HERE " + r.name + " " + r.state))
+	}
+}
--- a/internal/store/journal.go
+++ b/internal/store/journal.go
@@ -260,12 +260,12 @@
 	}
 	j.buf = j.buf[:0]
 	if j.told < j.synced && j.opt.Mode != None {
-		if j.buf, err = appendFrame(j.buf, &Record{Kind: Mark, Synced: j.synced}); err != nil {
+		if j.buf, err = AppendFrame(j.buf, &Record{Kind: Mark, Synced: j.synced}); err != nil {
 			return err
 		}
 	}
 	for _, r := range records {
-		if j.buf, err = appendFrame(j.buf, r); err != nil {
+		if j.buf, err = AppendFrame(j.buf, r); err != nil {
 			return err
 		}
 	}
@@ -380,14 +380,14 @@
 		return err
 	}
 	for _, k := range s.keys {
-		if b, err = appendFrame(b, k.record()); err != nil {
+		if b, err = AppendFrame(b, k.record()); err != nil {
 			return err
 		}
 		if err = flush(256 << 10); err != nil {
 			return err
 		}
 	}
-	if b, err = appendFrame(b, &Record{Kind: Last, Count: len(s.keys), At: s.at}); err != nil {
+	if b, err = AppendFrame(b, &Record{Kind: Last, Count: len(s.keys), At: s.at}); err != nil {
 		return err
 	}
 	if err = flush(0); err != nil {
--- a/internal/store/record.go
+++ b/internal/store/record.go
@@ -80,8 +80,8 @@
 	errBad = errors.New("damaged")
 )
 
-// appendFrame appends a record as a frame.
-func appendFrame(b []byte, r *Record) ([]byte, error) {
+// AppendFrame appends a record as a frame.
+func AppendFrame(b []byte, r *Record) ([]byte, error) {
 	if r.Result != nil && len(r.Result.Body) >= packFrom && !r.Result.Packed {
 		if packed := s2.Encode(nil, r.Result.Body); len(packed) < len(r.Result.Body) {
 			copied, res := *r, *r.Result
@@ -111,8 +111,8 @@
 	return m
 }()
 
-// readFrame reads the record at the front of b. errShort and errBad tell what is wrong.
-func readFrame(b []byte) (r *Record, used int, err error) {
+// ReadFrame reads the record at the front of b. errShort and errBad tell what is wrong.
+func ReadFrame(b []byte) (r *Record, used int, err error) {
 	if len(b) < frameHead {
 		return nil, 0, errShort
 	}
--- a/internal/store/recover.go
+++ b/internal/store/recover.go
@@ -52,7 +52,7 @@
 	at := int64(headerSize)
 	vouched := promised(b)
 	for at < int64(len(b)) {
-		r, n, err := readFrame(b[at:])
+		r, n, err := ReadFrame(b[at:])
 		if err == nil {
 			at += int64(n)
 			out.Records++
@@ -77,7 +77,7 @@
 // promised is up to where a segment's own marks say that it is on the disk.
 func promised(b []byte) (synced int64) {
 	for at := resync(b, 0); at >= 0; {
-		r, n, err := readFrame(b[at:])
+		r, n, err := ReadFrame(b[at:])
 		if err != nil {
 			at = resync(b, at+1)
 			continue
@@ -105,7 +105,7 @@
 			return -1
 		}
 		from += int64(i)
-		if _, _, err := readFrame(b[from:]); err == nil {
+		if _, _, err := ReadFrame(b[from:]); err == nil {
 			return from
 		}
 		from++
@@ -120,7 +120,7 @@
 	}
 	n := 0
 	for at := headerSize; at < len(b); {
-		r, used, err := readFrame(b[at:])
+		r, used, err := ReadFrame(b[at:])
 		if err != nil {
 			return err
 		}
