Tests of two real processes; a process alone goes on when its folder has no room

Cause: the whole suite showed hand-ins refused where $TMPDIR takes nothing (TestDiskWithoutRoom, TestCorrections: claims.failed 'file too large'), though nobody is there to read the claims; and a process that is replaced ended before it had written its results (TestNewVersionBeside: 500 instead of the result). Change: alone, the log is emptied and written anew once there is room; one that comes takes no keys until then. Beside another, what cannot be written is not run. Beside() also writes what a newcomer lacks. Metrics read the core's counters. The model of two tables is played at random.

--- /dev/null
+++ b/cmd/ryepaddle/beside_test.go
@@ -0,0 +1,395 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"shalesail/internal/fastcgi"
+	"shalesail/internal/scenario"
+)
+
+// pair is a runner of which there are two processes for a while.
+type pair struct {
+	t    *testing.T
+	addr string // where both listen
+	tmp  string
+}
+
+// newPair holds an address that several processes can listen on, and nobody else gets.
+func newPair(t *testing.T) *pair {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { unix.Close(fd) })
+	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1); err != nil {
+		t.Fatal(err)
+	}
+	if err := unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	sa, err := unix.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &pair{t: t, addr: fmt.Sprintf("127.0.0.1:%d", sa.(*unix.SockaddrInet4).Port), tmp: t.TempDir()}
+}
+
+// start starts a process and waits until its door says that it is ready.
+func (p *pair) start(engine string) *program {
+	p.t.Helper()
+	r := launch(p.t, map[string]any{"listen": p.addr, "ops": "127.0.0.1:0", "engine": engine, "backend": engine, "stop_ms": 30000, "$TMPDIR": p.tmp}, "")
+	p.ready(r)
+	return r
+}
+
+func (p *pair) ready(r *program) {
+	p.t.Helper()
+	for range 1000 {
+		if status, _ := r.door("/ops/readiness"); status == 200 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	p.t.Fatal("it does not become ready")
+}
+
+// door asks at the operators' door; status 0: nobody answers.
+func (p *program) door(path string) (status int, body []byte) {
+	client := http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	a, err := client.Get("http://" + p.listen["ops"] + path)
+	if err != nil {
+		return 0, nil
+	}
+	defer a.Body.Close()
+	body, _ = io.ReadAll(a.Body) // what is missing is not the JSON that is expected
+	return a.StatusCode, body
+}
+
+// stats are the figures that the door tells.
+func (p *program) stats(t testing.TB) (f struct {
+	Fulfilled, Throttled, Faulted         map[string]int64
+	Relayed                               int64
+	Open, CfgAccepted, CfgInvalid, Others int64
+}) {
+	t.Helper()
+	status, body := p.door("/ops/stats")
+	var all map[string]json.RawMessage
+	if err := json.Unmarshal(body, &all); status != 200 || err != nil {
+		t.Fatalf("%d %s: %v", status, body, err)
+	}
+	for name, to := range map[string]any{"fulfilled": &f.Fulfilled, "throttled": &f.Throttled, "faulted": &f.Faulted, "relayed": &f.Relayed,
+		"open_requests": &f.Open, "cfg_accepted": &f.CfgAccepted, "cfg_invalid": &f.CfgInvalid} {
+		if err := json.Unmarshal(all[name], to); err != nil {
+			t.Fatalf("figure %s of %s: %v", name, body, err)
+		}
+	}
+	return f
+}
+
+func TestNewVersionBeside(t *testing.T) {
+	for name, x := range map[string]struct{ before, during, after string }{
+		"a key that ran is not run again, and its result is given": {`
+			balancer send 1 hand-in key=a body=code
+			engine expect RUN 1 hand-in code
+			engine send done 1 fine graded
+			balancer expect 1 200 graded`, `
+			old send TERM
+			old expect exit 0
+			balancer expect gone`, `
+			other send 2 hand-in key=a body=code
+			other expect 2 200 graded
+			other send 3 hand-in key=a body=else
+			other expect 3 422 the dedupe key stands for another body
+			second expect nothing`},
+		"a key that runs in the other process is waited for": {`
+			balancer send 1 hand-in key=a body=code
+			engine expect RUN 1 hand-in code`, `
+			old send TERM`, `
+			other send 2 hand-in key=a body=code
+			other send 3 quick-check
+			second expect RUN 3 quick-check
+			other expect nothing
+			engine send done 1 fine graded
+			balancer expect 1 200 graded
+			other expect 2 200 graded
+			second send done 3 fine checked
+			other expect 3 200 checked
+			old expect exit 0
+			second expect nothing`},
+		"a key that the other process was killed over is in doubt": {`
+			balancer send 1 hand-in key=a body=code
+			engine expect RUN 1 hand-in code`, `
+			old close
+			balancer expect gone`, `
+			other send 2 hand-in key=a body=code
+			other expect 2 500
+			other send 3 hand-in key=b body=code
+			second expect RUN 3 hand-in code
+			second send done 3 fine graded
+			other expect 3 200 graded
+			second expect nothing`},
+		"what comes on a connection that stands is served": {`
+			balancer send 1 quick-check
+			engine expect RUN 1 quick-check`, `
+			old send TERM
+			balancer send 2 quick-check
+			engine expect RUN 2 quick-check
+			engine send done 1 fine one
+			balancer expect 1 200 one
+			engine send done 2 fine two
+			balancer expect 2 200 two
+			balancer expect gone
+			old expect exit 0`, `
+			balancer send 3 quick-check
+			second expect RUN 3 quick-check
+			second send done 3 fine three
+			balancer expect 3 200 three`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPair(t)
+			engine, second := scenario.NewEngine(t), scenario.NewEngine(t)
+			old := p.start(engine.Listener.Addr().String())
+			actors := map[string]scenario.Actor{"engine": engine, "second": second, "old": old, "balancer": scenario.NewBalancer(t, p.addr, false)}
+			scenario.Play(t, "engine expect ATTACH 0"+x.before, actors)
+			actors["new"] = p.start(second.Listener.Addr().String())
+			scenario.Play(t, "second expect ATTACH 0"+x.during, actors)
+			actors["other"] = scenario.NewBalancer(t, p.addr, false) // only the new process listens now
+			scenario.Play(t, x.after, actors)
+		})
+	}
+}
+
+// A process that never becomes ready, or dies, changes nothing for the one that serves, and no connection goes to it.
+func TestNewVersionThatFails(t *testing.T) {
+	p := newPair(t)
+	engine := scenario.NewEngine(t)
+	old := p.start(engine.Listener.Addr().String())
+	nobody := scenario.NewEngine(t) // whose engine does not come up
+	nobody.Listener.Close()
+	actors := map[string]scenario.Actor{"engine": engine, "old": old}
+	scenario.Play(t, "engine expect ATTACH 0", actors)
+	for _, end := range []syscall.Signal{syscall.SIGKILL, syscall.SIGTERM} {
+		fresh := launchUnready(t, p, nobody.Listener.Addr().String())
+		if status, _ := fresh.door("/ops/readiness"); status != 503 {
+			t.Errorf("a process without an engine says %d", status)
+		}
+		for i := range 8 {
+			b := scenario.NewBalancer(t, p.addr, false)
+			actors["balancer"] = b
+			id := fmt.Sprint(int(end)*100 + i)
+			scenario.Play(t, "balancer send "+id+" quick-check\nengine expect RUN "+id+" quick-check\nengine send done "+id+" fine ok\nbalancer expect "+id+" 200 ok", actors)
+		}
+		if err := fresh.cmd.Process.Signal(end); err != nil {
+			t.Fatal(err)
+		}
+		<-fresh.exit
+	}
+	scenario.Play(t, "old send TERM\nold expect exit 0", actors)
+	if !strings.Contains(old.log(), "event=drain.begins") {
+		t.Error("without another process that serves TERM is a drain: " + old.log())
+	}
+}
+
+// launchUnready starts a process of which only the door listens.
+func launchUnready(t *testing.T, p *pair, engine string) *program {
+	t.Helper()
+	// The front's line never comes; the door's is the one that is waited for.
+	return launch(t, map[string]any{"listen": p.addr, "ops": "127.0.0.1:0", "engine": engine, "backend": engine, "stop_ms": 1000, "$TMPDIR": p.tmp,
+		"$WAIT": 1}, "")
+}
+
+// mill is an engine that runs whatever it is told to, and remembers what ran.
+type mill struct {
+	ln   net.Listener
+	took time.Duration
+	mu   *sync.Mutex
+	ran  map[string]int // runs by body; all mills of a test share it
+}
+
+func newMill(t *testing.T, took time.Duration, mu *sync.Mutex, ran map[string]int) *mill {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	m := &mill{ln, took, mu, ran}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go m.serve(c)
+		}
+	}()
+	return m
+}
+
+func (m *mill) serve(c net.Conn) {
+	defer c.Close()
+	var mu sync.Mutex
+	no := 0
+	for r := bufio.NewScanner(c); r.Scan(); {
+		var q struct {
+			T, Rid, Mark string
+			B64          []byte
+		}
+		if json.Unmarshal(r.Bytes(), &q) != nil {
+			return
+		}
+		switch q.T {
+		case "ATTACH":
+			io.WriteString(c, `{"t":"HELLO","status":"running","time_ms":1}`+"\n")
+		case "STAT":
+			mu.Lock()
+			fmt.Fprintf(c, `{"t":"STATS","mark":%q,"v":[0.1,0,0,0]}`+"\n", q.Mark)
+			mu.Unlock()
+		case "RUN":
+			m.mu.Lock()
+			m.ran[string(q.B64)]++
+			m.mu.Unlock()
+			time.AfterFunc(m.took, func() {
+				mu.Lock()
+				defer mu.Unlock()
+				no++
+				line, _ := json.Marshal(map[string]any{"t": "DONE", "no": no, "rid": q.Rid, "status": "fine", "time_ms": 1, "b64": append([]byte("result of "), q.B64...)})
+				c.Write(append(line, '\n')) // to one that is killed it does not come
+			})
+		}
+	}
+}
+
+// try sends one hand-in on a connection of its own, and gives the status; 0: the connection was refused or broke.
+func try(addr, id, key string) (status int, body string, err error) {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		return 0, "", err
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	var pairs []byte
+	for _, p := range [][2]string{{"SCRIPT_NAME", "/ops/hand-in"}, {"REQUEST_METHOD", "POST"}, {"HTTP_X_CALL_ID", id},
+		{"HTTP_X_QUEUE_START", strconv.FormatInt(time.Now().UnixMilli(), 10)}, {"HTTP_X_SOURCE", "1"}, {"HTTP_X_CUSTOMER", "north"},
+		{"HTTP_X_HEAP_KB", "24.5"}, {"HTTP_X_IMPORTANCE", "0.5"}, {"HTTP_X_DEDUPE_KEY", key}} {
+		pairs = fastcgi.AppendPair(pairs, p[0], p[1])
+	}
+	out := fastcgi.AppendBegin(nil, 1, fastcgi.Begin{Role: fastcgi.Responder})
+	out = fastcgi.Append(fastcgi.Append(out, fastcgi.Params, 1, pairs), fastcgi.Params, 1, nil)
+	out = fastcgi.Append(fastcgi.Append(out, fastcgi.Stdin, 1, []byte(key)), fastcgi.Stdin, 1, nil)
+	if _, err := c.Write(out); err != nil {
+		return 0, "", err
+	}
+	all, err := io.ReadAll(c)
+	if err != nil {
+		return 0, "", err
+	}
+	var stdout []byte
+	for len(all) > 0 {
+		rec, used, err := fastcgi.Read(all, fastcgi.MaxRecord)
+		if err != nil || used == 0 {
+			return 0, "", errors.New("an answer that is cut off")
+		}
+		all = all[used:]
+		if rec.Type == fastcgi.Stdout {
+			stdout = append(stdout, rec.Content...)
+		}
+		if rec.Type == fastcgi.EndRequest {
+			head, body, _ := strings.Cut(string(stdout), "\r\n\r\n")
+			_, err := fmt.Sscanf(head, "Status: %d", &status)
+			return status, body, err
+		}
+	}
+	return 0, "", errors.New("no answer")
+}
+
+// Tries of one key go to whichever process takes them, while versions are replaced by TERM or killed: no key runs twice, what is served
+// is its own result, and without kills each try has a whole answer.
+func TestKeysRunOnceWhileVersionsChange(t *testing.T) {
+	for name, kill := range map[string]bool{"replaced": false, "killed": true} {
+		t.Run(name, func(t *testing.T) {
+			p := newPair(t)
+			var mu sync.Mutex
+			ran := map[string]int{}
+			engine := func() string { return newMill(t, 3*time.Millisecond, &mu, ran).ln.Addr().String() }
+			old := p.start(engine())
+			var ids, keys, served, broken atomic.Int64
+			stop := make(chan struct{})
+			var callers sync.WaitGroup
+			for range 4 {
+				callers.Go(func() {
+					for {
+						select {
+						case <-stop:
+							return
+						default:
+						}
+						key := fmt.Sprintf("key-%d", keys.Add(1))
+						var tries sync.WaitGroup
+						for range 3 { // at the same time, and one after that
+							tries.Go(func() { p.tryKey(&ids, &served, &broken, key) })
+						}
+						tries.Wait()
+						p.tryKey(&ids, &served, &broken, key)
+					}
+				})
+			}
+			for range 3 {
+				fresh := p.start(engine())
+				time.Sleep(100 * time.Millisecond) // both serve
+				if kill {
+					old.cmd.Process.Kill()
+				} else if err := old.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+					t.Fatal(err)
+				}
+				if err := <-old.exit; err != nil && !kill {
+					t.Error(err)
+				}
+				old = fresh
+			}
+			close(stop)
+			callers.Wait()
+			mu.Lock()
+			defer mu.Unlock()
+			for key, n := range ran {
+				if n > 1 {
+					t.Errorf("%s ran %d times", key, n)
+				}
+			}
+			if served.Load() == 0 || len(ran) == 0 {
+				t.Error("nothing was served")
+			}
+			if n := broken.Load(); !kill && n > 0 {
+				t.Errorf("%d tries had no whole answer", n)
+			}
+			t.Logf("%d keys, %d tries, %d served, %d broken", keys.Load(), ids.Load(), served.Load(), broken.Load())
+		})
+	}
+}
+
+func (p *pair) tryKey(ids, served, broken *atomic.Int64, key string) {
+	status, body, err := try(p.addr, fmt.Sprintf("%016x", ids.Add(1)), key)
+	switch {
+	case err != nil:
+		broken.Add(1)
+	case status == 200 && body != "result of "+key:
+		p.t.Errorf("%s is served with %q", key, body)
+	case status == 200:
+		served.Add(1)
+	}
+}
--- a/internal/app/beside.go
+++ b/internal/app/beside.go
@@ -150,7 +150,6 @@
 func (r *Program) retire() {
 	r.leaving = true
 	began, most := r.loop.Now(), stay(r.cfg)
-	evRetire.Log(r.core.Open(), most/1000)
 	if r.roster != nil {
 		r.roster.Stop()
 	}
@@ -160,6 +159,7 @@
 	if r.second != nil {
 		r.second.Leave()
 	}
+	evRetire.Log(r.core.Open(), most/1000)
 	r.loop.After(most-retireDrain, func() {
 		set := r.part(r.cfg.Settings)
 		set.DrainGrace = 0
--- a/internal/app/control.go
+++ b/internal/app/control.go
@@ -60,6 +60,17 @@
 	out := []metrics.Gauge{{Name: "ryepaddle_open", Help: "Requests that are owed an answer.", Value: float64(r.core.Open())},
 		{Name: "ryepaddle_connections", Help: "Connections of callers.", Value: float64(r.conns())},
 		{Name: "ryepaddle_draining", Help: "1: the program leaves.", Value: draining}}
+	for class, n := range r.core.ByClass() {
+		for end, v := range map[string]int64{"served": n.Served, "refused": n.Refused, "failed": n.Failed, "late": n.Late, "misused": n.Misused, "gone": n.Gone} {
+			out = append(out, metrics.Gauge{Name: "ryepaddle_requests_total", Help: "Requests by their one end.", Labels: map[string]string{"class": class, "end": end},
+				Value: float64(v), Total: true})
+		}
+		out = append(out, metrics.Gauge{Name: "ryepaddle_relayed_total", Help: "Attempts handed to the engine or a server.", Labels: map[string]string{"class": class},
+			Value: float64(n.Started), Total: true})
+	}
+	for what, n := range map[string]int64{"taken": r.accepted, "turned down": r.invalid} {
+		out = append(out, metrics.Gauge{Name: "ryepaddle_reloads_total", Help: "Files at HUP.", Labels: map[string]string{"what": what}, Value: float64(n), Total: true})
+	}
 	for name, g := range r.groups {
 		for _, c := range g.Counts() {
 			m := metrics.Gauge{Labels: map[string]string{"group": name, c.Of: c.What}, Value: c.N, Total: true}
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -44,6 +44,9 @@
 	readPart   = 64 << 10
 )
 
+// ErrUnknown tells that another process could not write what it claimed: its keys are not known.
+var ErrUnknown = errors.New("claims: another process could not write its claims")
+
 // ErrBusy tells that the lock was not to be had in time.
 var ErrBusy = errors.New("claims: another process holds the lock")
 
@@ -91,6 +94,7 @@
 	peers  map[uint32]*peer
 	told   int
 	serves bool // this process takes connections
+	lost   bool // the log does not hold all claims: there was no room, and nobody to read it
 	swept  int64
 	down   string // why nothing can be claimed, as was told last
 	frame  []byte
@@ -199,11 +203,11 @@
 // newLog begins a log with what is known, in place of the one that there is. The shared lock is held.
 func (g *Ledger) newLog(known func(func(core.Kept))) error {
 	name := g.logName(g.cfg.Life, g.gen+1)
-	f, err := os.OpenFile(name, os.O_RDWR|os.O_CREATE|os.O_EXCL, 0o600)
+	f, err := os.OpenFile(name+".new", os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
 	if err != nil {
 		return err
 	}
-	var b []byte
+	b, err := store.AppendFrame(nil, &store.Record{Kind: store.Last}) // one that holds nothing is one that was given up
 	if known != nil {
 		add := func(r *store.Record) {
 			if err == nil {
@@ -218,12 +222,15 @@
 	if err == nil {
 		_, err = f.WriteAt(b, 0)
 	}
+	if err == nil {
+		err = os.Rename(name+".new", name)
+	}
 	if err == nil {
 		err = g.bumpEpoch()
 	}
 	if err != nil {
 		f.Close()
-		os.Remove(name)
+		os.Remove(name + ".new")
 		return err
 	}
 	if g.log != nil {
@@ -232,7 +239,28 @@
 	}
 	g.log, g.size = f, int64(len(b))
 	g.gen++
-	g.least = max(newLogFrom, 2*g.size)
+	g.least, g.lost = max(newLogFrom, 2*g.size), false
+	return nil
+}
+
+// write appends a claim. Alone, a process without room goes on: its log is emptied, which takes none, so that one that comes knows that it
+// does not know, and it is written anew once there is room. All that was claimed is in the table.
+func (g *Ledger) write(k core.Kept) error {
+	var err error
+	if g.lost {
+		err = g.newLog(g.table.Known)
+	}
+	if err == nil {
+		err = g.append(g.record(k))
+	}
+	if err == nil || g.living() > 0 {
+		return err
+	}
+	g.failed(err)
+	if e := g.log.Truncate(0); e != nil {
+		return e
+	}
+	g.size, g.lost = 0, true
 	return nil
 }
 
@@ -279,9 +307,16 @@
 	}
 	mine := false
 	err := g.look()
+	if err == nil {
+		for _, p := range g.peers {
+			if p.at == 0 {
+				err = ErrUnknown
+			}
+		}
+	}
 	if err == nil {
 		if mine = free(); mine {
-			err = g.append(g.record(k))
+			err = g.write(k)
 		}
 	}
 	if err == nil && g.size > g.least {
@@ -292,7 +327,9 @@
 		}
 	}
 	release(g.lock)
-	g.failed(err)
+	if !g.lost {
+		g.failed(err)
+	}
 	done(mine && err == nil, err)
 }
 
@@ -340,6 +377,7 @@
 func (g *Ledger) Beside() (living int, serves bool) {
 	if g.lock != nil { // what came since the last poll counts
 		g.failed(g.look())
+		g.tell()
 	}
 	for _, p := range g.peers {
 		serves = serves || p.living && p.ready
@@ -352,7 +390,9 @@
 	if g.lock == nil {
 		return
 	}
-	g.failed(g.look())
+	if err := g.look(); err != nil || !g.lost {
+		g.failed(err)
+	}
 	wait := int64(pollAlone)
 	if g.tell(); g.living() > 0 {
 		wait = pollOften
@@ -508,6 +548,7 @@
 		p.close()
 		delete(g.peers, life)
 		os.Remove(p.log.Name())
+		os.Remove(g.logName(life, p.gen+1) + ".new") // it was killed as it wrote that
 		os.Remove(g.aliveName(life))
 	}
 }
--- /dev/null
+++ b/internal/core/claims_test.go
@@ -0,0 +1,227 @@
+package core
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// logbook is what all processes of a runner have written, in order. Each reads it up to its end under the lock, and else when it likes.
+type logbook struct {
+	lines   []line
+	members []*member
+	lives   uint64
+}
+
+type line struct {
+	life      uint64
+	k         Kept
+	forgotten bool
+}
+
+// member is one process, as the core sees the claims.
+type member struct {
+	*table
+	book *logbook
+	life uint64
+	read int
+	dead bool
+	fail bool // the disk takes nothing
+}
+
+func (b *logbook) join(t *testing.T, now int64) *member {
+	b.lives++
+	m := &member{book: b, life: b.lives}
+	m.table = newTableBeside(t, 1, m, m.life)
+	m.pass(now - m.now)
+	m.catchUp()
+	for _, o := range b.members {
+		if o.dead {
+			m.Orphaned(uint32(o.life))
+		}
+	}
+	b.members = append(b.members, m)
+	return m
+}
+
+func (m *member) catchUp() {
+	for ; m.read < len(m.book.lines); m.read++ {
+		if l := m.book.lines[m.read]; l.life != m.life {
+			m.Heard(l.k, l.forgotten)
+		}
+	}
+}
+
+func (m *member) Claim(k Kept, _ int64, free func() bool, done func(bool, error)) {
+	m.catchUp()
+	switch {
+	case m.fail:
+		done(false, errSlow)
+	case !free():
+		done(false, nil)
+	default:
+		m.write(k, false)
+		done(true, nil)
+	}
+}
+
+func (m *member) write(k Kept, forgotten bool) {
+	m.book.lines = append(m.book.lines, line{m.life, k, forgotten})
+}
+func (m *member) Ended(k Kept)  { m.write(k, false) }
+func (m *member) Forgot(k Kept) { m.write(k, true) }
+
+// Whatever two processes read when, and whichever of them is killed, a key runs once within its window, each request has one answer, and
+// what is served is what the one run made.
+func TestKeysRunOnceInTwoProcesses(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		b := &logbook{}
+		one, two := b.join(t, 1_000_000), b.join(t, 1_000_000)
+		ran, answered := map[string]int64{}, map[string]bool{} // when a key ran last; whether a request was answered
+		asked := map[string]string{}                           // keys by request
+		last := 0
+		look := func() {
+			for _, m := range []*member{one, two} {
+				for _, l := range m.seen {
+					w := append(strings.Fields(l), "", "")
+					key := asked[w[1]]
+					switch w[0] {
+					case "run":
+						if at, before := ran[key]; before && m.now < at+13_020_000 {
+							rt.Fatalf("key %s runs at %d and at %d", key, at, m.now)
+						}
+						ran[key] = m.now
+					case "answer":
+						if answered[w[1]] {
+							rt.Fatalf("a second answer: %s", l)
+						}
+						if answered[w[1]] = true; w[2] == "served" && w[3] != key {
+							rt.Fatalf("%s is served with %q", key, w[3])
+						}
+					}
+				}
+				m.seen = nil
+			}
+		}
+		each := func(fn func(m *member)) {
+			for _, m := range []*member{one, two} {
+				fn(m)
+			}
+		}
+		pick := func(rt *rapid.T) *member {
+			if rapid.Bool().Draw(rt, "second") {
+				return two
+			}
+			return one
+		}
+		send := func(m *member, words ...string) {
+			if err := m.Send(words); err != nil {
+				rt.Fatal(err)
+			}
+			look()
+		}
+		rt.Repeat(map[string]func(*rapid.T){
+			"ask": func(rt *rapid.T) {
+				last++
+				id, key := strconv.Itoa(last), rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "key")
+				asked[id] = key
+				send(pick(rt), "ask", id, "hand-in", key)
+			},
+			"end": func(rt *rapid.T) {
+				m := pick(rt)
+				if len(m.runs) > 0 {
+					id := rapid.SampledFrom(slices.Sorted(maps.Keys(m.runs))).Draw(rt, "id")
+					o := rapid.SampledFrom([]string{"fine", "fault", "not-run"}).Draw(rt, "outcome")
+					if o == "not-run" && !m.runs[id].over {
+						delete(ran, asked[id])
+					}
+					send(m, "end", id, o, asked[id])
+				}
+			},
+			"gone": func(rt *rapid.T) {
+				m := pick(rt)
+				if len(m.ids) > 0 {
+					id := rapid.SampledFrom(slices.Sorted(maps.Keys(m.ids))).Draw(rt, "id")
+					send(m, "gone", id)
+				}
+			},
+			"read": func(rt *rapid.T) {
+				pick(rt).catchUp()
+				look()
+			},
+			"pass": func(rt *rapid.T) {
+				ms := strconv.Itoa(rapid.IntRange(1, 6000).Draw(rt, "ms"))
+				each(func(m *member) { send(m, "pass", ms) })
+			},
+			"disk": func(rt *rapid.T) { m := pick(rt); m.fail = !m.fail },
+			"kill": func(rt *rapid.T) {
+				if rapid.IntRange(0, 9).Draw(rt, "odds") > 0 {
+					return
+				}
+				one.dead = true
+				two.catchUp()
+				two.Orphaned(uint32(one.life))
+				one, two = two, b.join(t, two.now)
+				look()
+			},
+			"": func(rt *rapid.T) {
+				each(func(m *member) {
+					if n := m.Open(); n < 0 {
+						rt.Fatalf("%d open", n)
+					}
+				})
+			},
+		})
+		each(func(m *member) { // all that is open is answered by its due time, whatever the other does
+			send(m, "pass", "3000")
+			if n := m.Open(); n > 0 {
+				rt.Fatalf("%d are still open", n)
+			}
+		})
+	})
+}
+
+// What a repeat gets that meets a run of the other process, step by step.
+func TestRepeatOfARunElsewhere(t *testing.T) {
+	b := &logbook{}
+	one, two := b.join(t, 1_000_000), b.join(t, 1_000_000)
+	step := func(m *member, words string, want ...string) {
+		t.Helper()
+		m.seen = nil
+		if words == "read" {
+			m.catchUp()
+		} else if err := m.Send(strings.Fields(words)); err != nil {
+			t.Fatal(err)
+		}
+		if got := fmt.Sprint(m.seen); got != fmt.Sprint(want) {
+			t.Errorf("%s: %s, want %s", words, got, want)
+		}
+	}
+	step(one, "ask 1 hand-in a", "run 1")
+	step(two, "ask 2 hand-in a") // it was to run, and lost to the other's claim
+	step(two, "ask 3 hand-in a")
+	step(two, "gone 3")
+	step(one, "end 1 fine graded", "answer 1 served graded")
+	step(two, "read", "answer 2 served graded")
+	step(two, "ask 4 hand-in a", "answer 4 served graded")
+	step(two, "ask 5 hand-in b", "run 5")
+	step(one, "ask 6 hand-in b")
+	step(two, "end 5 not-run", "answer 5 refused")
+	step(one, "read", "answer 6 refused") // which is true: it never ran
+	step(one, "ask 7 hand-in b", "run 7")
+	step(two, "ask 8 hand-in b")
+	one.dead = true
+	two.seen = nil
+	if two.Orphaned(uint32(one.life)); fmt.Sprint(two.seen) != "[answer 8 failed]" {
+		t.Errorf("the process that ran it is dead: %v", two.seen)
+	}
+	two.fail = true
+	step(two, "ask 9 hand-in c", "answer 9 refused")
+	two.fail = false
+	step(two, "ask 10 hand-in c", "run 10")
+}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -133,10 +133,17 @@
 }
 
 func newTable(t *testing.T, tries int) *table {
+	t.Helper()
+	return newTableBeside(t, tries, nil, 0)
+}
+
+// newTableBeside is the table of one of several processes of a runner.
+func newTableBeside(t *testing.T, tries int, claims Claims, life uint64) *table {
 	t.Helper()
 	s := shalesail.Settings{Cores: 4, MemoryKB: 50_000, RunFactor: 8, KeyKB: 100, CrowdLimit: 6, ColdShare: 0.2,
 		Dependency: shalesail.DependencyShared, CallsOut: 20, CallsOver: 5 * time.Second, Linger: 200 * time.Millisecond,
 		TellsGone: true, DrainGrace: 1800 * time.Millisecond, Servers: 3, IdleFor: 30 * time.Second,
+		Tenants: []shalesail.Tenant{{Name: "north"}},
 		Classes: []shalesail.Class{
 			{Name: "check", Target: time.Second, Deadline: 3 * time.Second, Worth: 1, LateWorth: 0.2, Calls: true},
 			{Name: "hand-in", Target: time.Second, Deadline: 2500 * time.Millisecond, Worth: 3, LateWorth: 0.2,
@@ -148,6 +155,7 @@
 		After:  c.after,
 		Gauges: func(fn func(Gauges)) { fn(NoGauges()) },
 		Route:  func(int) Runner { return c }, Again: func(t Try) bool { return t.Tries < tries && t.Left > 0 }, Below: c, Log: func(e *logs.Event, values ...any) { t.Log(e.Text(values...)) },
+		Claims: claims, Life: life,
 		Trails: func(tr *Trail) { c.trails = append(c.trails, tr) }})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -146,6 +146,9 @@
 // sweep closes connections that are idle, or on which a request does not come whole, or answers are not taken.
 func (f *Front) sweep() {
 	now := f.loop.Now()
+	if !f.leaving && f.ln.Over() { // its share became smaller
+		f.makeRoom()
+	}
 	for c := range f.conns {
 		switch {
 		case c.IsClosed() || c.IsLeaving(): // that has a limit of its own
--- a/internal/loop/listen.go
+++ b/internal/loop/listen.go
@@ -178,6 +178,9 @@
 	ln.resume()
 }
 
+// Over tells whether more connections are open than may be since SetMost.
+func (ln *Listener) Over() bool { return ln.open > ln.most }
+
 // SetLimits bounds the buffers of connections that are accepted from now on.
 func (ln *Listener) SetLimits(limits Limits) { ln.limits = limits }
 
