A request that its caller takes back counts as faulted, as that is what the caller sees

A trace of hand-ins on n1 up to then showed 6 answers 500, each 15 ms after the request it repeats was taken back by ABORT_REQUEST, and 6 of those; the front confirms an abort by END_REQUEST without a status, which is a failure by PROTOCOL ('anything else'). Ruled out: late answers, refusals after a run, requests that could not be read (none in the logs). The lines: core.Abandon counted both kinds of leaving as gone. Change: core.Withdraw for a caller that is told; a broken connection stays gone. TestDoorTellsWhatPeersSaw on the real program.

--- /dev/null
+++ b/cmd/ryepaddle/door_test.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"io"
+	"net"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"shalesail/internal/scenario"
+)
+
+// What the door tells is what the balancer and the engine saw.
+func TestDoorTellsWhatPeersSaw(t *testing.T) {
+	engine := scenario.NewEngine(t)
+	p := launch(t, map[string]any{"ops": "127.0.0.1:0", "engine": engine.Listener.Addr().String(), "backend": engine.Listener.Addr().String(),
+		"stop_ms": 30000}, "")
+	actors := map[string]scenario.Actor{"engine": engine, "runner": p, "balancer": scenario.NewBalancer(t, p.listen["platform"], false),
+		"leaver": scenario.NewBalancer(t, p.listen["platform"], false)}
+	scenario.Play(t, `
+		engine expect ATTACH 0
+		balancer send 1 quick-check
+		engine expect RUN 1 quick-check
+		engine send done 1 fine ok
+		balancer expect 1 200 ok
+		balancer send 2 hand-in key=a body=code
+		engine expect RUN 2 hand-in code
+		engine send done 2 fault
+		balancer expect 2 500
+		balancer send 3 hand-in key=a body=code
+		balancer expect 3 500
+		balancer send 4 quick-check age=60000
+		balancer expect 4 503 come-back
+		balancer send 5 full-check
+		engine expect RUN 5 full-check
+		balancer send abort 5
+		balancer expect 5 ended 0
+		leaver send 6 full-check
+		engine expect RUN 6 full-check
+		leaver close
+		runner send HUP half
+		runner send HUP classes extra hand-in
+		balancer send 7 extra
+		engine expect RUN 7 extra`, actors)
+	type ends struct{ Served, Refused, Failed int64 }
+	want := map[string]ends{"quick-check": {1, 1, 0}, "full-check": {0, 0, 1}, "hand-in": {0, 0, 2}, "extra": {}}
+	f, got := p.stats(t), map[string]ends{}
+	for class := range f.Fulfilled {
+		got[class] = ends{f.Fulfilled[class], f.Throttled[class], f.Faulted[class]}
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("by class (-want +got)\n%s", diff)
+	}
+	// The leaver may have stopped sending alone and still wait for its answer, which is open like the one of extra.
+	if diff := cmp.Diff([]int64{5, 2, 1, 1}, []int64{f.Relayed, f.Open, f.CfgAccepted, f.CfgInvalid}); diff != "" {
+		t.Errorf("relayed, open, taken, turned down (-want +got)\n%s", diff)
+	}
+	// A crowd that holds connections without a whole call does not keep the answer back.
+	for range 100 {
+		c, err := net.Dial("tcp", p.listen["ops"])
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if _, err := io.WriteString(c, "GET /ops"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if status, body := p.door("/ops/readiness"); status != 200 {
+		t.Errorf("beside a crowd readiness says %d %s", status, body)
+	}
+	scenario.Play(t, "runner send TERM", actors)
+	if status, _ := p.door("/ops/readiness"); status == 200 {
+		t.Error("a process that leaves says that it is ready")
+	}
+	scenario.Play(t, `
+		engine send done 7 fine ok
+		balancer expect 7 200 ok`, actors)
+}
--- a/internal/app/control.go
+++ b/internal/app/control.go
@@ -61,7 +61,7 @@
 		{Name: "ryepaddle_connections", Help: "Connections of callers.", Value: float64(r.conns())},
 		{Name: "ryepaddle_draining", Help: "1: the program leaves.", Value: draining}}
 	for class, n := range r.core.ByClass() {
-		for end, v := range map[string]int64{"served": n.Served, "refused": n.Refused, "failed": n.Failed, "late": n.Late, "misused": n.Misused, "gone": n.Gone} {
+		for end, v := range map[string]int64{"served": n.Served, "refused": n.Refused, "failed": n.Failed, "late": n.Late, "misused": n.Misused, "gone": n.Gone, "withdrawn": n.Withdrawn} {
 			out = append(out, metrics.Gauge{Name: "ryepaddle_requests_total", Help: "Requests by their one end.", Labels: map[string]string{"class": class, "end": end},
 				Value: float64(v), Total: true})
 		}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -36,6 +36,7 @@
 	}
 	for _, c := range []struct{ old, new, want string }{
 		{`"127.0.0.1:10080"`, `"nowhere"`, `line 3: field listen: not an ip:port`},
+		{`"name": "n0"`, `"name": "n0", "ops": "door"`, `line 2: field ops: not an ip:port`},
 		{`"name": "n0"`, `"name": ""`, `line 2: field name: missing`},
 		{`3200`, `-1`, `line 8: field stop_ms: not above 0`},
 		{`8c1f30d27a5be964`, `seed`, `line 7: field seed: not a number in hex`},
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -466,11 +466,22 @@
 
 // Abandon tells that nobody waits for the answer any more. What runs goes on, and a key stays remembered.
 func (c *Core) Abandon(t Ticket) {
-	r := c.requests[uint64(t)]
-	if r == nil || r.answered {
-		return
+	if r := c.requests[uint64(t)]; r != nil && !r.answered {
+		c.counts[r.Class].Gone++
+		c.abandon(r)
+	}
+}
+
+// Withdraw is Abandon for a caller that is there still, and to whom its front confirms that the request is over: without a result, which
+// callers take for a failure.
+func (c *Core) Withdraw(t Ticket) {
+	if r := c.requests[uint64(t)]; r != nil && !r.answered {
+		c.counts[r.Class].Withdrawn++
+		c.abandon(r)
 	}
-	c.counts[r.Class].Gone++
+}
+
+func (c *Core) abandon(r *request) {
 	r.trail.because(CauseGone, 0, 0)
 	c.tellOf(r, 0, 0)
 	c.close(r)
--- a/internal/core/counts.go
+++ b/internal/core/counts.go
@@ -3,17 +3,18 @@
 import "log/slog"
 
 // Stats counts what became of requests since the start. Whoever has it read is in one of the ends, or open:
-// Read = Served + Refused + Failed + Late + Misused + Gone + those that are open.
+// Read = Served + Refused + Failed + Late + Misused + Gone + Withdrawn + those that are open.
 type Stats struct {
-	Read    int64
-	Served  int64
-	Refused int64
-	Failed  int64
-	Late    int64
-	Gone    int64 // nobody waited any more when they ended
-	Started int64 // attempts handed to whoever runs them
-	Repeats int64 // of those read
-	Misused int64
+	Read      int64
+	Served    int64
+	Refused   int64
+	Failed    int64
+	Late      int64
+	Gone      int64 // nobody waited any more when they ended
+	Withdrawn int64 // taken back by their callers, who are told that they are over
+	Started   int64 // attempts handed to whoever runs them
+	Repeats   int64 // of those read
+	Misused   int64
 }
 
 // ended counts the one final answer to a request.
@@ -33,7 +34,7 @@
 }
 
 // Faulted is how many were answered, and neither served nor refused.
-func (s Stats) Faulted() int64 { return s.Failed + s.Late + s.Misused }
+func (s Stats) Faulted() int64 { return s.Failed + s.Late + s.Misused + s.Withdrawn }
 
 func (s *Stats) add(o Stats) {
 	s.Read += o.Read
@@ -42,6 +43,7 @@
 	s.Failed += o.Failed
 	s.Late += o.Late
 	s.Gone += o.Gone
+	s.Withdrawn += o.Withdrawn
 	s.Started += o.Started
 	s.Repeats += o.Repeats
 	s.Misused += o.Misused
@@ -50,7 +52,7 @@
 // LogValue implements slog.LogValuer.
 func (s Stats) LogValue() slog.Value {
 	return slog.GroupValue(slog.Int64("read", s.Read), slog.Int64("served", s.Served), slog.Int64("refused", s.Refused), slog.Int64("failed", s.Failed),
-		slog.Int64("late", s.Late), slog.Int64("gone", s.Gone), slog.Int64("started", s.Started), slog.Int64("repeats", s.Repeats), slog.Int64("misused", s.Misused))
+		slog.Int64("late", s.Late), slog.Int64("gone", s.Gone), slog.Int64("withdrawn", s.Withdrawn), slog.Int64("started", s.Started), slog.Int64("repeats", s.Repeats), slog.Int64("misused", s.Misused))
 }
 
 // ByClass gives the counts of each class by its name, also of those that there are not any more.
--- a/internal/core/counts_test.go
+++ b/internal/core/counts_test.go
@@ -16,7 +16,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		c := newTable(t, 2)
 		told := map[string]int64{}
-		asked, gone, last := int64(0), int64(0), 0
+		asked, gone, withdrawn, last := int64(0), int64(0), int64(0), 0
 		check := func() {
 			for _, line := range c.seen {
 				if w := strings.Fields(line); w[0] == "answer" && len(w) > 2 {
@@ -31,7 +31,7 @@
 				sum.add(s)
 			}
 			if diff := cmp.Diff(Stats{Read: asked, Served: told["served"], Refused: told["refused"], Failed: told["failed"], Late: told["late"],
-				Misused: told["misused"], Gone: gone, Started: sum.Started, Repeats: sum.Repeats}, c.Stats()); diff != "" {
+				Misused: told["misused"], Gone: gone, Withdrawn: withdrawn, Started: sum.Started, Repeats: sum.Repeats}, c.Stats()); diff != "" {
 				rt.Fatalf("(-want +got)\n%s", diff)
 			}
 			if left := sum.Read - sum.Served - sum.Refused - sum.Faulted() - sum.Gone; left != int64(c.Open()) {
@@ -62,10 +62,17 @@
 			"gone": func(rt *rapid.T) {
 				if len(c.ids) > 0 {
 					r := c.requests[uint64(c.ids[rapid.SampledFrom(ids()).Draw(rt, "id")])]
-					if r != nil && !r.answered {
-						gone++
-					}
-					if r != nil {
+					switch open := r != nil && !r.answered; {
+					case r == nil:
+					case rapid.Bool().Draw(rt, "withdrawn"):
+						if open {
+							withdrawn++
+						}
+						c.Core.Withdraw(Ticket(r.id))
+					default:
+						if open {
+							gone++
+						}
 						c.Core.Abandon(Ticket(r.id))
 					}
 				}
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -404,7 +404,7 @@
 // abort ends a request for which nobody waits. What runs goes on; the core keeps its key.
 func (x *exchange) abort() {
 	if x.sent {
-		x.conn.front.core.Abandon(x.ticket)
+		x.conn.front.core.Withdraw(x.ticket)
 	}
 	x.end(nil)
 }
