Test that two processes share the limits of one, and what a claim costs

Need: the division of descriptors, memory, calls and crowd had no test, and a folder whose name looks like a pattern hid the logs of others. Change: TestLimitsAreShared on two programs, folders are listed instead of matched, BenchmarkClaim.

--- /dev/null
+++ b/internal/app/beside_test.go
@@ -0,0 +1,101 @@
+package app
+
+import (
+	"math"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"shalesail/internal/config"
+	"shalesail/internal/loop"
+)
+
+// started is a program on a loop that turns until the test ends.
+func started(t *testing.T, change func(*config.Platform)) *Program {
+	t.Helper()
+	cfg, err := config.ReadPlatform("../../example/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range cfg.Settings.Classes { // nothing listens for calls here
+		cfg.Settings.Classes[i].Calls = false
+	}
+	cfg.Listen = netip.MustParseAddrPort("127.0.0.1:0")
+	change(cfg)
+	l, err := loop.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := New(l, cfg, nil, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- l.Run() }()
+	t.Cleanup(func() {
+		l.Deliver(l.Stop)
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		l.Close()
+	})
+	return r
+}
+
+// on calls fn on the program's loop.
+func (r *Program) on(fn func()) {
+	done := make(chan struct{})
+	r.loop.Deliver(func() { fn(); close(done) })
+	<-done
+}
+
+// Two processes have together what one has, and the one that stays has it all again.
+func TestLimitsAreShared(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	here := func(*config.Platform) {}
+	one := started(t, here)
+	type limits struct {
+		Parts                     int
+		MemoryKB, CallsOut, Crowd float64
+	}
+	expect := func(r *Program, parts int) {
+		t.Helper()
+		var got, whole limits
+		for range 1000 {
+			r.on(func() {
+				s := r.part(r.cfg.Settings)
+				got = limits{r.parts, s.MemoryKB, s.CallsOut, s.CrowdLimit}
+				whole = limits{1, r.cfg.Settings.MemoryKB, r.cfg.Settings.CallsOut, r.cfg.Settings.CrowdLimit}
+			})
+			if got.Parts == parts {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		n := float64(parts)
+		want := limits{parts, whole.MemoryKB / n, whole.CallsOut / n, math.Max(whole.Crowd/n, 1)}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("(-want +got)\n%s", diff)
+		}
+	}
+	expect(one, 1)
+	two := started(t, here)
+	expect(two, 2)
+	expect(one, 2)
+	other := started(t, func(cfg *config.Platform) { cfg.Name = "n1" }) // of another runner
+	expect(other, 1)
+	one.on(func() {
+		if most := one.front.Most(); most != mostBalancers(one.cfg)/2 {
+			t.Errorf("one of two takes %d connections, of %d", most, mostBalancers(one.cfg))
+		}
+	})
+	two.on(two.claims.Close) // as its death does
+	expect(one, 1)
+	one.on(func() {
+		if most := one.front.Most(); most != mostBalancers(one.cfg) {
+			t.Errorf("alone again it takes %d connections, of %d", most, mostBalancers(one.cfg))
+		}
+	})
+}
--- /dev/null
+++ b/internal/claims/bench_test.go
@@ -0,0 +1,32 @@
+package claims
+
+import (
+	"fmt"
+	"testing"
+
+	"shalesail/internal/core"
+)
+
+// BenchmarkClaim is what a claim costs the loop: alone, and beside a process that lives.
+func BenchmarkClaim(b *testing.B) {
+	for _, processes := range []int{1, 2} {
+		b.Run(fmt.Sprint(processes), func(b *testing.B) {
+			dir := b.TempDir()
+			all := make([]*process, processes)
+			for i := range all {
+				all[i] = start(b, dir, uint32(i+1))
+			}
+			one := all[0]
+			one.pass()
+			free, done := func() bool { return true }, func(mine bool, err error) {
+				if !mine || err != nil {
+					b.Fatal(mine, err)
+				}
+			}
+			for i := 0; b.Loop(); i++ {
+				k := core.Kept{Class: "hand-in", Tenant: "malarskolan", Key: fmt.Sprintf("%032x", i), Owner: 1 << 32, Until: 10_000_000}
+				one.ledger.Claim(k, tryAgain, free, done)
+			}
+		})
+	}
+}
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -452,11 +452,12 @@
 
 // scan finds the logs of others.
 func (g *Ledger) scan() error {
-	names, err := filepath.Glob(g.base + ".*.log")
+	files, err := os.ReadDir(g.cfg.Dir)
 	if err != nil {
 		return err
 	}
-	for _, name := range names {
+	for _, f := range files {
+		name := filepath.Join(g.cfg.Dir, f.Name())
 		life, gen, ok := g.parse(name)
 		p := g.peers[life]
 		if !ok || life == g.cfg.Life || p != nil && p.gen >= gen {
@@ -494,7 +495,12 @@
 }
 
 func (g *Ledger) parse(name string) (life uint32, gen uint64, ok bool) {
-	a, b, ok := strings.Cut(strings.TrimSuffix(strings.TrimPrefix(name, g.base+"."), ".log"), ".")
+	text, ours := strings.CutPrefix(name, g.base+".")
+	text, isLog := strings.CutSuffix(text, ".log")
+	if !ours || !isLog {
+		return 0, 0, false
+	}
+	a, b, ok := strings.Cut(text, ".")
 	l, err := strconv.ParseUint(a, 16, 32)
 	n, err2 := strconv.ParseUint(b, 10, 64)
 	return uint32(l), n, ok && err == nil && err2 == nil
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -15,7 +15,7 @@
 
 // process is one of several that are one runner, on a clock of the test's own. Its table is a list of what it was told.
 type process struct {
-	t      *testing.T
+	t      testing.TB
 	now    int64
 	timers []func()
 	ledger *Ledger
@@ -49,7 +49,7 @@
 	}
 }
 
-func start(t *testing.T, dir string, life uint32) *process {
+func start(t testing.TB, dir string, life uint32) *process {
 	t.Helper()
 	p := &process{t: t, now: 1_000_000, theirs: map[string]bool{}}
 	var err error
@@ -111,7 +111,10 @@
 }
 
 func TestOneOfTwoRunsAKey(t *testing.T) {
-	dir := t.TempDir()
+	dir := filepath.Join(t.TempDir(), "[a] *") // no pattern, though it looks like one
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
 	one := start(t, dir, 1)
 	one.claims("a", "mine")
 	two := start(t, dir, 2)
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -88,6 +88,9 @@
 	}
 }
 
+// Most is how many connections are taken at once.
+func (f *Front) Most() int { return f.ln.Most() }
+
 // limits bound the buffers of a connection.
 func (f *Front) limits() loop.Limits { return loop.Limits{In: maxRecord, Out: f.maxOut} }
 
--- a/internal/loop/listen.go
+++ b/internal/loop/listen.go
@@ -172,6 +172,9 @@
 	c.h = ln.accept(c)
 }
 
+// Most is how many connections may be open at once.
+func (ln *Listener) Most() int { return ln.most }
+
 // SetMost says how many connections may be open at once from now on. Those that are open stay.
 func (ln *Listener) SetMost(most int) {
 	ln.most = most
