A claim that has its log written anew is in the new log

Cause: read again, line by line: Claim appended the record and then wrote the log anew from the table, which leaves out a run that still waits for its claim (core.Known, toBegin). A process that began after that would not have known the key. Also: claims of classes that a process learns of at a later HUP were passed over, and a key that another process claimed between reading and admitting could be taken in its place. Change: the log is written anew before the claim; what was heard of unknown classes is heard again after a HUP; the table keeps an entry that is another process's.

--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -314,18 +314,19 @@
 			}
 		}
 	}
-	if err == nil {
-		if mine = free(); mine {
-			err = g.write(k)
-		}
-	}
 	if err == nil && g.size > g.least {
-		// It may stay as long as it is: that the disk has no room for another is no reason to turn a run away.
+		// Before the claim and not behind it: the table does not have it yet. The log may stay as long as it is: that the disk has no
+		// room for another is no reason to turn a run away.
 		if e := g.newLog(g.table.Known); e != nil {
 			g.least *= 2
 			g.failed(e)
 		}
 	}
+	if err == nil {
+		if mine = free(); mine {
+			err = g.write(k)
+		}
+	}
 	release(g.lock)
 	if !g.lost {
 		g.failed(err)
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -234,6 +234,23 @@
 	}
 }
 
+// A log that was written anew with the claim that made it too long did not have that claim.
+func TestEachClaimIsInTheLogThatStands(t *testing.T) {
+	dir := t.TempDir()
+	one := start(t, dir, 1)
+	for i := range uint32(8) {
+		one.ledger.least = 1
+		key := fmt.Sprint(i)
+		one.claims(key, "mine")
+		later := start(t, dir, 10+i)
+		later.claims(key, "theirs")
+		later.kill()
+	}
+	if one.ledger.gen < 8 {
+		t.Errorf("log %d: it was not written anew each time", one.ledger.gen)
+	}
+}
+
 func TestFilesOfTheDeadGo(t *testing.T) {
 	dir := t.TempDir()
 	one := start(t, dir, 1)
--- a/internal/core/claims.go
+++ b/internal/core/claims.go
@@ -84,13 +84,16 @@
 
 // Heard takes what another process has written of a key. Forgotten: its run never began.
 func (c *Core) Heard(k Kept, forgotten bool) {
-	class := c.set.Class(k.Class)
-	tenant, ok := -1, true
-	if k.Tenant != "" {
+	class, ok := c.Class(k.Class)
+	tenant := -1
+	if k.Tenant != "" && ok {
 		tenant, ok = c.Tenant(k.Tenant)
 	}
-	if class < 0 || !ok {
-		return // no request can name it
+	if !ok { // the other may have read settings that this one is about to read
+		if len(c.strange) < c.keys.most.Keys {
+			c.strange = append(c.strange, strangeKey{k, forgotten})
+		}
+		return
 	}
 	name := keyName{class, tenant, k.Key}
 	e := c.keys.byName[name]
@@ -122,6 +125,23 @@
 	}
 }
 
+// strangeKey is what was heard of a key of a class that there was not.
+type strangeKey struct {
+	Kept
+	forgotten bool
+}
+
+// hearAgain takes what was heard before the settings had its class.
+func (c *Core) hearAgain() {
+	heard := c.strange
+	c.strange = nil
+	for _, k := range heard {
+		if c.host.Unix() <= k.Until+lateRead {
+			c.Heard(k.Kept, k.forgotten)
+		}
+	}
+}
+
 // toBegin tells whether the run of a key waits for its claim.
 func (c *Core) toBegin(e *entry) bool {
 	r := c.requests[e.owner]
--- a/internal/core/claims_test.go
+++ b/internal/core/claims_test.go
@@ -7,8 +7,11 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
+
+	"shalesail"
 )
 
 // logbook is what all processes of a runner have written, in order. Each reads it up to its end under the lock, and else when it likes.
@@ -186,6 +189,32 @@
 	})
 }
 
+// The other process has read settings with a class that this one does not know yet.
+func TestClaimOfAClassThatComesLater(t *testing.T) {
+	b := &logbook{}
+	one, two := b.join(t, 1_000_000), b.join(t, 1_000_000)
+	more := one.set
+	more.Classes = append(slices.Clone(more.Classes), shalesail.Class{Name: "late-hand-in", Target: time.Second, Deadline: 2 * time.Second, Worth: 3,
+		Effect: shalesail.Keyed, Window: 13 * time.Second})
+	configure := func(m *member) {
+		if _, err := m.Configure(more); err != nil {
+			t.Fatal(err)
+		}
+	}
+	configure(one)
+	if err := one.Send([]string{"ask", "1", "late-hand-in", "a"}); err != nil {
+		t.Fatal(err)
+	}
+	two.catchUp()
+	configure(two)
+	if err := two.Send([]string{"ask", "2", "late-hand-in", "a"}); err != nil {
+		t.Fatal(err)
+	}
+	if got := fmt.Sprint(one.seen, two.seen); got != "[run 1] []" {
+		t.Errorf("a key of a class that came later: %s", got)
+	}
+}
+
 // What a repeat gets that meets a run of the other process, step by step.
 func TestRepeatOfARunElsewhere(t *testing.T) {
 	b := &logbook{}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -273,6 +273,7 @@
 	counts   []Stats // by class
 	// Monotonic times since when classes are not in the settings any more.
 	droppedAt []int64
+	strange   []strangeKey // heard of other processes, of classes that there are not
 
 	refused   int // for their keys, since that was told
 	refusedAt int64
@@ -322,6 +323,7 @@
 	grow := len(set.Classes) - len(c.set.Classes)
 	c.counts, c.droppedAt = append(c.counts, make([]Stats, grow)...), append(c.droppedAt, make([]int64, grow)...)
 	c.set = set
+	c.hearAgain()
 	return set, nil
 }
 
@@ -693,6 +695,7 @@
 	c.host.Gauges(func(v Gauges) {
 		c.keys.expire(c.host.Unix())
 		c.callers.expire(c.host.Now())
+		c.strange = slices.DeleteFunc(c.strange, func(k strangeKey) bool { return c.host.Unix() > k.Until+lateRead })
 		c.gate.tick(v)
 		c.settle()
 	})
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -71,6 +71,10 @@
 // keep remembers a request's key up to a Unix time, in place of an older try whose time is over.
 func (t *keyTable) keep(r *request, until int64) {
 	e := t.byName[nameOf(r.Request)]
+	if e != nil && e.elsewhere != 0 && r.Arrived <= e.until { // another process was first, since r was read
+		r.entry = e
+		return
+	}
 	if e == nil || e.owner != r.id {
 		t.remove(e)
 		e = &entry{name: nameOf(r.Request), owner: r.id, first: r.Name, body: bodyOf(r.Request)}
