Tests of the roster beside two processes, and of classes that change under load

Need: the issue asks for a test of a changed file under load and twice in quick succession, and that the roster hears nothing wrong of a process that is replaced. Change: TestRosterHearsOfOneRunner (also a start with a roster that is down), TestClassesChangeUnderLoad (9 files while 4 callers ask), TestDroppedClass, a scenario of a class that was dropped 5 s ago.

--- a/cmd/ryepaddle/beside_test.go
+++ b/cmd/ryepaddle/beside_test.go
@@ -214,6 +214,108 @@
 		"$WAIT": 1}, "")
 }
 
+// Two processes are one runner to the roster: it is told that the runner is there all the while, and never that it leaves.
+func TestRosterHearsOfOneRunner(t *testing.T) {
+	p := newPair(t)
+	roster, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { roster.Close() })
+	start := func(engine, roster string) *program {
+		r := launch(t, map[string]any{"listen": p.addr, "ops": "127.0.0.1:0", "engine": engine, "backend": engine, "roster": roster, "stop_ms": 30000,
+			"$TMPDIR": p.tmp}, "")
+		p.ready(r)
+		return r
+	}
+	hear := func() string {
+		buf := make([]byte, 64)
+		roster.SetReadDeadline(time.Now().Add(10 * time.Second))
+		n, _, err := roster.ReadFrom(buf)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(buf[:n])
+	}
+	engines := []string{scenario.NewEngine(t).Listener.Addr().String(), scenario.NewEngine(t).Listener.Addr().String()}
+	down := listenNowhere(t) // a start does not wait for a roster that is down
+	old := start(engines[0], roster.LocalAddr().String())
+	if got := hear(); got != "HERE n0 on" {
+		t.Errorf("it says %q", got)
+	}
+	fresh := start(engines[1], down)
+	scenario.Play(t, "old send TERM\nold expect exit 0", map[string]scenario.Actor{"old": old})
+	roster.SetReadDeadline(time.Now())
+	for buf := make([]byte, 64); ; {
+		roster.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+		n, _, err := roster.ReadFrom(buf)
+		if err != nil { // all that it had said is read
+			break
+		}
+		if got := string(buf[:n]); got != "HERE n0 on" {
+			t.Errorf("a process that is replaced says %q", got)
+		}
+	}
+	if status, _ := fresh.door("/ops/readiness"); status != 200 {
+		t.Errorf("without a roster it says %d", status)
+	}
+}
+
+// listenNowhere is an address of UDP on which nobody listens.
+func listenNowhere(t *testing.T) string {
+	t.Helper()
+	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	return c.LocalAddr().String()
+}
+
+// Classes come and go under load, twice in quick succession too. Requests of a class that stays are all served or refused, and
+// one that is dropped fails or is served, but never breaks a connection.
+func TestClassesChangeUnderLoad(t *testing.T) {
+	p := newPair(t)
+	var mu sync.Mutex
+	r := p.start(newMill(t, 3*time.Millisecond, &mu, map[string]int{}).ln.Addr().String())
+	var ids atomic.Int64
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	for _, class := range []string{"full-check", "full-check", "extra", "quick-check"} {
+		callers.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				id := fmt.Sprintf("%016x", ids.Add(1))
+				status, body, err := try(p.addr, id, class, id)
+				switch {
+				case err != nil:
+					t.Errorf("%s: %v", class, err)
+				case status == 200 && body != "result of "+id, status != 200 && status != 503 && class == "full-check":
+					t.Errorf("%s: %d %q", class, status, body)
+				}
+			}
+		})
+	}
+	for range 3 { // of one event ten lines pass in a second
+		for _, classes := range []string{"extra full-check hand-in", "full-check hand-in", "quick-check full-check hand-in"} {
+			if err := r.Send(append([]string{"HUP", "classes"}, strings.Fields(classes)...)); err != nil {
+				t.Error(err)
+			}
+		}
+	}
+	close(stop)
+	callers.Wait()
+	f := r.stats(t)
+	if f.Open != 0 || f.CfgAccepted != 9 || f.CfgInvalid != 0 || f.Fulfilled["full-check"] == 0 {
+		t.Errorf("the figures are %+v", f)
+	}
+	t.Logf("%d requests", ids.Load())
+}
+
 // mill is an engine that runs whatever it is told to, and remembers what ran.
 type mill struct {
 	ln   net.Listener
@@ -275,8 +377,8 @@
 	}
 }
 
-// try sends one hand-in on a connection of its own, and gives the status; 0: the connection was refused or broke.
-func try(addr, id, key string) (status int, body string, err error) {
+// try sends one request on a connection of its own, and gives the status; 0: the connection was refused or broke.
+func try(addr, id, class, key string) (status int, body string, err error) {
 	c, err := net.Dial("tcp", addr)
 	if err != nil {
 		return 0, "", err
@@ -284,7 +386,7 @@
 	defer c.Close()
 	c.SetDeadline(time.Now().Add(20 * time.Second))
 	var pairs []byte
-	for _, p := range [][2]string{{"SCRIPT_NAME", "/ops/hand-in"}, {"REQUEST_METHOD", "POST"}, {"HTTP_X_CALL_ID", id},
+	for _, p := range [][2]string{{"SCRIPT_NAME", "/ops/" + class}, {"REQUEST_METHOD", "POST"}, {"HTTP_X_CALL_ID", id},
 		{"HTTP_X_QUEUE_START", strconv.FormatInt(time.Now().UnixMilli(), 10)}, {"HTTP_X_SOURCE", "1"}, {"HTTP_X_CUSTOMER", "north"},
 		{"HTTP_X_HEAP_KB", "24.5"}, {"HTTP_X_IMPORTANCE", "0.5"}, {"HTTP_X_DEDUPE_KEY", key}} {
 		pairs = fastcgi.AppendPair(pairs, p[0], p[1])
@@ -383,7 +485,7 @@
 }
 
 func (p *pair) tryKey(ids, served, broken *atomic.Int64, key string) {
-	status, body, err := try(p.addr, fmt.Sprintf("%016x", ids.Add(1)), key)
+	status, body, err := try(p.addr, fmt.Sprintf("%016x", ids.Add(1)), "hand-in", key)
 	switch {
 	case err != nil:
 		broken.Add(1)
--- a/cmd/ryepaddle/main_test.go
+++ b/cmd/ryepaddle/main_test.go
@@ -335,6 +335,24 @@
 			engine send done 7 fine seven
 			balancer expect 7 200 seven
 			engine expect nothing`},
+		// One that has not heard of it yet must not lose its connection, and what else is open on it.
+		"a class that was dropped a while ago is failed by itself": {"", `
+			runner send HUP classes full-check hand-in
+			wait 5100ms
+			balancer expect gone
+			balancer send 1 full-check
+			engine expect RUN 1 full-check
+			balancer send 2 quick-check
+			balancer expect 2 404 the class is not served any more
+			balancer send 3 full-check
+			engine expect RUN 3 full-check
+			engine send done 3 fine three
+			balancer expect 3 200 three
+			engine send done 1 fine one
+			balancer expect 1 200 one
+			balancer send 4 never-was
+			balancer expect 4 400 no class at "/ops/never-was"
+			balancer expect gone`},
 		"requests that cannot be read are failed": {"", `
 			balancer send 1 no-such-class
 			balancer expect 1 400 no class at "/ops/no-such-class"
--- a/internal/core/counts_test.go
+++ b/internal/core/counts_test.go
@@ -11,6 +11,31 @@
 	"pgregory.net/rapid"
 )
 
+// A class that is dropped is taken for a while, and what was counted of it stays.
+func TestDroppedClass(t *testing.T) {
+	c := newTable(t, 1)
+	for _, words := range []string{"ask 1 check", "end 1 fine ok"} {
+		if err := c.Send(strings.Fields(words)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	next := c.set
+	next.Classes = slices.Clone(c.set.Classes[1:])
+	if _, err := c.Configure(next); err != nil {
+		t.Fatal(err)
+	}
+	if _, ok := c.Class("check"); !ok || !c.Dropped("check") {
+		t.Error("a class that was dropped just now is not taken")
+	}
+	c.pass(droppedFor)
+	if _, ok := c.Class("check"); ok || !c.Dropped("check") || c.Dropped("never was") {
+		t.Error("a class that was dropped a while ago is taken")
+	}
+	if diff := cmp.Diff(Stats{Read: 1, Served: 1, Started: 1}, c.ByClass()["check"]); diff != "" {
+		t.Errorf("(-want +got)\n%s", diff)
+	}
+}
+
 // Whatever happens, each request that was read is in one end or open, and the ends are what callers were told.
 func TestEachRequestIsCountedOnce(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
