--- a/cmd/ryepaddle/beside_test.go
+++ b/cmd/ryepaddle/beside_test.go
@@ -1,14 +1,11 @@
 package main
 
 import (
-	"bufio"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -18,7 +15,6 @@
 
 	"golang.org/x/sys/unix"
 
-	"shalesail/internal/fastcgi"
 	"shalesail/internal/scenario"
 )
 
@@ -276,8 +272,7 @@
 // one that is dropped fails or is served, but never breaks a connection.
 func TestClassesChangeUnderLoad(t *testing.T) {
 	p := newPair(t)
-	var mu sync.Mutex
-	r := p.start(newMill(t, 3*time.Millisecond, &mu, map[string]int{}).ln.Addr().String())
+	r := p.start(scenario.NewMill(t, 3*time.Millisecond, &scenario.Runs{}).Listener.Addr().String())
 	var ids atomic.Int64
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
@@ -290,7 +285,7 @@
 				default:
 				}
 				id := fmt.Sprintf("%016x", ids.Add(1))
-				status, body, err := try(p.addr, id, class, id)
+				status, body, err := scenario.Try(p.addr, id, class, id)
 				switch {
 				case err != nil:
 					t.Errorf("%s: %v", class, err)
@@ -316,119 +311,14 @@
 	t.Logf("%d requests", ids.Load())
 }
 
-// mill is an engine that runs whatever it is told to, and remembers what ran.
-type mill struct {
-	ln   net.Listener
-	took time.Duration
-	mu   *sync.Mutex
-	ran  map[string]int // runs by body; all mills of a test share it
-}
-
-func newMill(t *testing.T, took time.Duration, mu *sync.Mutex, ran map[string]int) *mill {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	m := &mill{ln, took, mu, ran}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go m.serve(c)
-		}
-	}()
-	return m
-}
-
-func (m *mill) serve(c net.Conn) {
-	defer c.Close()
-	var mu sync.Mutex
-	no := 0
-	for r := bufio.NewScanner(c); r.Scan(); {
-		var q struct {
-			T, Rid, Mark string
-			B64          []byte
-		}
-		if json.Unmarshal(r.Bytes(), &q) != nil {
-			return
-		}
-		switch q.T {
-		case "ATTACH":
-			io.WriteString(c, `{"t":"HELLO","status":"running","time_ms":1}`+"\n")
-		case "STAT":
-			mu.Lock()
-			fmt.Fprintf(c, `{"t":"STATS","mark":%q,"v":[0.1,0,0,0]}`+"\n", q.Mark)
-			mu.Unlock()
-		case "RUN":
-			m.mu.Lock()
-			m.ran[string(q.B64)]++
-			m.mu.Unlock()
-			time.AfterFunc(m.took, func() {
-				mu.Lock()
-				defer mu.Unlock()
-				no++
-				line, _ := json.Marshal(map[string]any{"t": "DONE", "no": no, "rid": q.Rid, "status": "fine", "time_ms": 1, "b64": append([]byte("result of "), q.B64...)})
-				c.Write(append(line, '\n')) // to one that is killed it does not come
-			})
-		}
-	}
-}
-
-// try sends one request on a connection of its own, and gives the status; 0: the connection was refused or broke.
-func try(addr, id, class, key string) (status int, body string, err error) {
-	c, err := net.Dial("tcp", addr)
-	if err != nil {
-		return 0, "", err
-	}
-	defer c.Close()
-	c.SetDeadline(time.Now().Add(20 * time.Second))
-	var pairs []byte
-	for _, p := range [][2]string{{"SCRIPT_NAME", "/ops/" + class}, {"REQUEST_METHOD", "POST"}, {"HTTP_X_CALL_ID", id},
-		{"HTTP_X_QUEUE_START", strconv.FormatInt(time.Now().UnixMilli(), 10)}, {"HTTP_X_SOURCE", "1"}, {"HTTP_X_CUSTOMER", "north"},
-		{"HTTP_X_HEAP_KB", "24.5"}, {"HTTP_X_IMPORTANCE", "0.5"}, {"HTTP_X_DEDUPE_KEY", key}} {
-		pairs = fastcgi.AppendPair(pairs, p[0], p[1])
-	}
-	out := fastcgi.AppendBegin(nil, 1, fastcgi.Begin{Role: fastcgi.Responder})
-	out = fastcgi.Append(fastcgi.Append(out, fastcgi.Params, 1, pairs), fastcgi.Params, 1, nil)
-	out = fastcgi.Append(fastcgi.Append(out, fastcgi.Stdin, 1, []byte(key)), fastcgi.Stdin, 1, nil)
-	if _, err := c.Write(out); err != nil {
-		return 0, "", err
-	}
-	all, err := io.ReadAll(c)
-	if err != nil {
-		return 0, "", err
-	}
-	var stdout []byte
-	for len(all) > 0 {
-		rec, used, err := fastcgi.Read(all, fastcgi.MaxRecord)
-		if err != nil || used == 0 {
-			return 0, "", errors.New("an answer that is cut off")
-		}
-		all = all[used:]
-		if rec.Type == fastcgi.Stdout {
-			stdout = append(stdout, rec.Content...)
-		}
-		if rec.Type == fastcgi.EndRequest {
-			head, body, _ := strings.Cut(string(stdout), "\r\n\r\n")
-			_, err := fmt.Sscanf(head, "Status: %d", &status)
-			return status, body, err
-		}
-	}
-	return 0, "", errors.New("no answer")
-}
-
 // Tries of one key go to whichever process takes them, while versions are replaced by TERM or killed: no key runs twice, what is served
 // is its own result, and without kills each try has a whole answer.
 func TestKeysRunOnceWhileVersionsChange(t *testing.T) {
 	for name, kill := range map[string]bool{"replaced": false, "killed": true} {
 		t.Run(name, func(t *testing.T) {
 			p := newPair(t)
-			var mu sync.Mutex
-			ran := map[string]int{}
-			engine := func() string { return newMill(t, 3*time.Millisecond, &mu, ran).ln.Addr().String() }
+			runs := &scenario.Runs{}
+			engine := func() string { return scenario.NewMill(t, 3*time.Millisecond, runs).Listener.Addr().String() }
 			old := p.start(engine())
 			var ids, keys, served, broken atomic.Int64
 			stop := make(chan struct{})
@@ -466,14 +356,13 @@
 			}
 			close(stop)
 			callers.Wait()
-			mu.Lock()
-			defer mu.Unlock()
-			for key, n := range ran {
-				if n > 1 {
+			ran := 0
+			runs.Each(func(key string, n int) {
+				if ran++; n > 1 {
 					t.Errorf("%s ran %d times", key, n)
 				}
-			}
-			if served.Load() == 0 || len(ran) == 0 {
+			})
+			if served.Load() == 0 || ran == 0 {
 				t.Error("nothing was served")
 			}
 			if n := broken.Load(); !kill && n > 0 {
@@ -485,7 +374,7 @@
 }
 
 func (p *pair) tryKey(ids, served, broken *atomic.Int64, key string) {
-	status, body, err := try(p.addr, fmt.Sprintf("%016x", ids.Add(1)), "hand-in", key)
+	status, body, err := scenario.Try(p.addr, fmt.Sprintf("%016x", ids.Add(1)), "hand-in", key)
 	switch {
 	case err != nil:
 		broken.Add(1)
