What schools used is known to other runners before a hand-in is answered

Need: with peers, keys outlived a machine lost with its disk, and the account of what schools used did not.

Change: metering tells its account to heirs and plays theirs, both beside the loop, the disk of others' statements on a goroutine of its own. The use of a hand-in is handed over with the end of its run, and its answer waits for heirs beside the copies of its result, within peers.patience_ms. A statement gets its name once heirs know of it, a correction is answered then too. With peers each process has an account of its own. Status, ryepaddle peers and the metrics tell of it. Without peers all is as it was.

Found by the harness: statements that were named were not passed on to heirs that came later; they are.

The desk's crashes at any step pass with an account for each process too.

--- a/cmd/ryelab/up.go
+++ b/cmd/ryelab/up.go
@@ -13,6 +13,7 @@
 
 	"shalesail/internal/standin/cluster"
 	"shalesail/internal/standin/judge"
+	"shalesail/internal/usage"
 )
 
 type upCmd struct {
@@ -61,9 +62,13 @@
 	}
 	defer fleet.Close()
 	if c.Copies > 0 {
+		fmt.Fprintln(l.err, "copies are made; sets that begin with nothing take no hand-ins for a window")
 		if err := fleet.Ready(30 * time.Second); err != nil {
 			return err
 		}
+		if err := fleet.Taking(30 * time.Second); err != nil {
+			return err
+		}
 	}
 	load := &cluster.Load{Callers: c.Callers, Roam: c.Roam, Again: 1, Within: c.window() / 2}
 	load.Begin(fleet)
@@ -178,19 +183,36 @@
 // verdict tells how it ended. A broken promise is told with the command that plays it again.
 func (c *upCmd) verdict(l *lab, fleet *cluster.Cluster) error {
 	v, all := fleet.Judge(), fleet.Rows()
+	var bill *usage.Bill
+	if c.Copies > 0 && !(c.Random > 0 && c.Wipe) { // drawn faults may take more machines at once than there are copies
+		its, b, err := fleet.Billed()
+		if err != nil {
+			return err
+		}
+		v, bill = append(v, its...), b
+	}
 	if c.JSON {
 		err := l.json(struct {
 			Runners []cluster.Row  `json:"runners"`
 			Tries   map[string]int `json:"tries"`
 			Ran     int            `json:"keys_run"`
 			Broken  judge.Verdict  `json:"broken"`
+			Bill    *usage.Bill    `json:"bill,omitempty"`
 			Seed    uint64         `json:"seed"`
-		}{all, named(fleet.History.Count()), len(fleet.Ran()), v, c.Seed})
+		}{all, named(fleet.History.Count()), len(fleet.Ran()), v, bill, c.Seed})
 		if err != nil {
 			return err
 		}
 	} else {
-		fmt.Fprintf(l.out, "%s\n%v\n%v\n", rows(all), fleet, v)
+		fmt.Fprintf(l.out, "%s\n%v\n", rows(all), fleet)
+		if bill != nil {
+			served := int64(0)
+			for _, line := range bill.Lines {
+				served += line.Served
+			}
+			fmt.Fprintf(l.out, "%d hand-ins billed, by %d statements\n", served, bill.Statements)
+		}
+		fmt.Fprintf(l.out, "%v\n", v)
 	}
 	if len(v) > 0 {
 		fmt.Fprintf(l.err, "again with: ryelab up %s\n", c.again())
--- a/cmd/ryepaddle/peers.go
+++ b/cmd/ryepaddle/peers.go
@@ -3,10 +3,13 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 
 	"shalesail/internal/app"
 	"shalesail/internal/control"
+	"shalesail/internal/metering"
 )
 
 type peersCmd struct {
@@ -41,14 +44,33 @@
 		if p.Closed != "" {
 			fmt.Fprintf(sh.out, "no new keys are taken: %s\n", p.Closed)
 		}
+		if a := s.Accounts; a != nil {
+			fmt.Fprint(sh.out, accountsLine(a))
+		}
 		fmt.Fprintf(sh.out, "%d keys held, %d messages sent, %d dropped\n", s.KeysHeld, p.Messages, p.Dropped)
 	}
-	if p.Closed != "" || p.Whole < p.Slots {
+	if p.Closed != "" || p.Whole < p.Slots || s.Accounts != nil && !s.Accounts.Whole() {
 		return errNotWhole
 	}
 	return nil
 }
 
+// accountsLine tells who knows the account of usage, and what is known of others'.
+func accountsLine(a *metering.Copies) string {
+	var heirs []string
+	for _, name := range slices.Sorted(maps.Keys(a.Heirs)) {
+		if n := a.Heirs[name]; n > 0 {
+			name = fmt.Sprintf("%s (%d behind)", name, n)
+		}
+		heirs = append(heirs, name)
+	}
+	line := "its account of usage is known to nobody else"
+	if len(heirs) > 0 {
+		line = "its account of usage is known to " + strings.Join(heirs, ", ")
+	}
+	return fmt.Sprintf("%s; it knows those of %d others, is about to end %d of them, and has %d statements to pass on\n", line, a.Known, a.Ending, a.Short)
+}
+
 // Help implements kong.HelpProvider.
 func (peersCmd) Help() string {
 	return `The exit status is 0 if all copies are made and new keys are taken, as far as the runner that is asked knows.
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -154,15 +154,16 @@
 	lost   traffic.Lost             // as was told last
 	told   core.Stats
 
-	control *control.Server  // nil where nobody may ask
-	figures *metrics.Metrics // with it
-	recent  *explain.Record  // nil where nothing is remembered of requests
-	keep    *keeper.Keeper   // nil where keys are not kept on a disk
-	spans   *traces.Recorder // nil where none are written
-	meter   *metering.Meter  // nil where no account of usage is kept
-	peers   *party.Party     // nil where nothing is copied
-	untold  traces.Lost      // as was told last
-	fatal   error            // why the program ends
+	control  *control.Server  // nil where nobody may ask
+	figures  *metrics.Metrics // with it
+	recent   *explain.Record  // nil where nothing is remembered of requests
+	keep     *keeper.Keeper   // nil where keys are not kept on a disk
+	spans    *traces.Recorder // nil where none are written
+	meter    *metering.Meter  // nil where no account of usage is kept
+	peers    *party.Party     // nil where nothing is copied
+	promised map[usedKey]bool // uses that are counted before their answers go out
+	untold   traces.Lost      // as was told last
+	fatal    error            // why the program ends
 
 	accepted, invalid int64 // files at HUP
 
--- a/internal/app/control.go
+++ b/internal/app/control.go
@@ -11,6 +11,7 @@
 	"shalesail/internal/core"
 	"shalesail/internal/explain"
 	"shalesail/internal/logs"
+	"shalesail/internal/metering"
 	"shalesail/internal/metrics"
 	"shalesail/internal/peers/party"
 	"shalesail/internal/pools"
@@ -112,7 +113,35 @@
 		}
 		out = append(out, metrics.Gauge{Name: "ryepaddle_keys_closed", Help: "1: no new keys are taken.", Value: closed})
 	}
-	return out
+	return append(out, r.peerGauges()...)
+}
+
+// peerGauges are how copies on other runners stand.
+func (r *Program) peerGauges() []metrics.Gauge {
+	if r.peers == nil {
+		return nil
+	}
+	p, closed := r.peers.Status(), 0.0
+	if p.Closed != "" {
+		closed = 1
+	}
+	out := []metrics.Gauge{{Name: "ryepaddle_peers_closed", Help: "1: no new keys are taken, as peers do not keep them.", Value: closed},
+		{Name: "ryepaddle_peers_members", Help: "Runners that are in the table.", Value: float64(len(p.Members))},
+		{Name: "ryepaddle_peers_slots", Help: "Parts of the keys.", Value: float64(p.Slots)},
+		{Name: "ryepaddle_peers_slots_whole", Help: "Parts of the keys that have all their copies.", Value: float64(p.Whole)},
+		{Name: "ryepaddle_peers_messages_total", Help: "Messages to peers.", Labels: map[string]string{"what": "sent"}, Value: float64(p.Messages), Total: true},
+		{Name: "ryepaddle_peers_messages_total", Help: "Messages to peers.", Labels: map[string]string{"what": "dropped"}, Value: float64(p.Dropped), Total: true}}
+	if r.meter == nil {
+		return out
+	}
+	c, behind := r.meter.Copies(), uint64(0)
+	for _, n := range c.Heirs {
+		behind = max(behind, n)
+	}
+	return append(out, metrics.Gauge{Name: "ryepaddle_accounts_heirs", Help: "Runners that are told this one's account of usage.", Value: float64(len(c.Heirs))},
+		metrics.Gauge{Name: "ryepaddle_accounts_behind", Help: "Steps that the one furthest behind does not know.", Value: float64(behind)},
+		metrics.Gauge{Name: "ryepaddle_accounts_known", Help: "Accounts of other runners that are known here.", Value: float64(c.Known)},
+		metrics.Gauge{Name: "ryepaddle_accounts_statements_short", Help: "Statements that are to be passed on to peers.", Value: float64(c.Short)})
 }
 
 func (r *Program) listenControl() (err error) {
@@ -127,20 +156,21 @@
 
 // Status is what is told of the program as a whole.
 type Status struct {
-	Name        string         `json:"name"`
-	Version     string         `json:"version"`
-	Draining    bool           `json:"draining,omitempty"`
-	Open        int            `json:"open"`
-	Connections int            `json:"connections"`
-	Stats       core.Stats     `json:"since_start"`
-	Groups      []string       `json:"groups,omitempty"`
-	Servers     []upstream.Row `json:"servers,omitempty"`
-	Pools       []PoolRow      `json:"pools,omitempty"`
-	Inventory   string         `json:"inventory_refused,omitempty"` // why its files are not taken
-	Keys        string         `json:"keys_refused,omitempty"`      // why no new ones are
-	KeysHeld    int            `json:"keys_held"`
-	Peers       *party.Status  `json:"peers,omitempty"`
-	Remembered  []Remembered   `json:"remembered,omitempty"`
+	Name        string           `json:"name"`
+	Version     string           `json:"version"`
+	Draining    bool             `json:"draining,omitempty"`
+	Open        int              `json:"open"`
+	Connections int              `json:"connections"`
+	Stats       core.Stats       `json:"since_start"`
+	Groups      []string         `json:"groups,omitempty"`
+	Servers     []upstream.Row   `json:"servers,omitempty"`
+	Pools       []PoolRow        `json:"pools,omitempty"`
+	Inventory   string           `json:"inventory_refused,omitempty"` // why its files are not taken
+	Keys        string           `json:"keys_refused,omitempty"`      // why no new ones are
+	KeysHeld    int              `json:"keys_held"`
+	Peers       *party.Status    `json:"peers,omitempty"`
+	Accounts    *metering.Copies `json:"accounts,omitempty"` // where peers know what schools used
+	Remembered  []Remembered     `json:"remembered,omitempty"`
 }
 
 // PoolRow is how a pool stands.
@@ -284,6 +314,10 @@
 	}
 	if r.peers != nil {
 		s.Peers = r.peers.Status()
+		if r.meter != nil {
+			c := r.meter.Copies()
+			s.Accounts = &c
+		}
 	}
 	for _, x := range r.recent.Strata() {
 		s.Remembered = append(s.Remembered, Remembered{r.cfg.Settings.Classes[x.Class].Name, kindNames[x.Kind], x.Seen, x.Kept})
--- a/internal/app/peers.go
+++ b/internal/app/peers.go
@@ -1,10 +1,16 @@
 package app
 
 import (
+	"cmp"
+
 	"shalesail/internal/config"
 	"shalesail/internal/core"
+	"shalesail/internal/metering"
+	"shalesail/internal/peers/accounts"
 	"shalesail/internal/peers/link"
 	"shalesail/internal/peers/party"
+	"shalesail/internal/peers/plan"
+	"shalesail/internal/usage"
 )
 
 // startPeers takes part among the runners of the installation, if the operator's file has any.
@@ -28,9 +34,44 @@
 		}
 		cfg.Links.Peers = append(cfg.Links.Peers, link.Peer{Name: m.Name, Addr: m.Addr})
 	}
+	if r.meter != nil {
+		cfg.Accounts = account{r, map[usedKey]bool{}}
+		r.promised = cfg.Accounts.(account).open
+	}
 	var err error
-	r.peers, err = party.Start(r.loop, cfg)
-	return err
+	if r.peers, err = party.Start(r.loop, cfg); err != nil || r.meter == nil {
+		return err
+	}
+	send := func(out []accounts.Message) { r.loop.Deliver(func() { r.peers.Tell(out) }) }
+	return r.meter.Join(metering.Join{Process: cfg.Process, Send: send, Deliver: r.loop.Deliver})
+}
+
+// usedKey is a key whose run has ended and whose use is counted, while its answer waits.
+type usedKey struct{ class, school, key string }
+
+// account has uses of hand-ins known to others before they are answered.
+type account struct {
+	r    *Program
+	open map[usedKey]bool
+}
+
+// Hear implements party.Accounts.
+func (a account) Hear(m *accounts.Message) { a.r.meter.Hear(m) }
+
+// Table implements party.Accounts.
+func (a account) Table(t *plan.Table, life uint64) { a.r.meter.Table(t, life) }
+
+// Promise implements party.Accounts.
+func (a account) Promise(k core.Kept, done func(error)) {
+	class, ok := a.r.core.Class(k.Class)
+	if !ok {
+		done(nil)
+		return
+	}
+	u := usage.Use{At: a.r.loop.Unix(), School: cmp.Or(k.Tenant, NoSchool), Class: k.Class, End: usage.Served, Work: k.Work}
+	a.r.key(&u, class, k.Key)
+	a.open[usedKey{u.Class, u.School, k.Key}] = true
+	a.r.meter.Promise(u, done)
 }
 
 // restore takes the keys of earlier lives. Of a run that had begun peers know how it stands, as far as anybody does.
--- a/internal/app/usage.go
+++ b/internal/app/usage.go
@@ -22,7 +22,9 @@
 	if r.op == nil || r.op.Usage.Dir == "" {
 		return nil
 	}
-	r.meter, err = metering.Start(r.op.Usage.Options(r.cfg.Name))
+	opt := r.op.Usage.Options(r.cfg.Name)
+	opt.Copied = r.op.Peers.On()
+	r.meter, err = metering.Start(opt)
 	return err
 }
 
@@ -37,9 +39,11 @@
 		u.School = r.cfg.Settings.Tenants[t.Tenant].Name
 	}
 	if t.Key != "" && r.core.Keyed(t.Class) {
-		u.Key = usage.KeyOf(u.School, u.Class, t.Key)
-		// A repeat that came at the end of the window is answered within its deadline, or not at all.
-		u.Until = t.Answered + class.Window.Microseconds() + class.Deadline.Microseconds()
+		r.key(&u, t.Class, t.Key)
+		if k := (usedKey{u.Class, u.School, t.Key}); !u.Again && r.promised[k] { // it was counted with the end of its run
+			delete(r.promised, k)
+			return
+		}
 	}
 	for _, h := range t.Hops[:min(t.Tries, len(t.Hops))] {
 		u.Work += h.Took
@@ -47,6 +51,14 @@
 	r.meter.Note(u)
 }
 
+// key has a use known by its key.
+func (r *Program) key(u *usage.Use, class int, key string) {
+	c := &r.cfg.Settings.Classes[class]
+	u.Key = usage.KeyOf(u.School, u.Class, key)
+	// A repeat that came at the end of the window is answered within its deadline, or not at all.
+	u.Until = u.At + c.Window.Microseconds() + c.Deadline.Microseconds()
+}
+
 // Corrected is the answer to a correction.
 type Corrected struct {
 	Known bool `json:"known"` // it had been taken before
--- a/internal/core/keeper.go
+++ b/internal/core/keeper.go
@@ -15,6 +15,8 @@
 	Ended              bool // else its run had begun
 	How                Kind // of an end without a result: how repeats are answered
 	Result             *Result
+	Work               int64 // of an end: microseconds that servers spent on it
+	Waits              bool  // of an end: somebody waits for the answer
 }
 
 // Keeper keeps keys where a crash does not reach them. A run begins once it is kept that it does, and the answer to it goes
@@ -148,7 +150,7 @@
 		r.trail.because(causeOf(o), 0, 0)
 	}
 	k := c.kept(r)
-	k.Ended, k.Result = true, res
+	k.Ended, k.Result, k.Work, k.Waits = true, res, r.trail.work(), !r.answered
 	if o != Fine || res == nil {
 		k.Result, k.How = nil, howOf(o)
 	}
--- a/internal/core/trail.go
+++ b/internal/core/trail.go
@@ -136,6 +136,17 @@
 	h.Server, h.Outcome, h.Took = a.Server, o, now-h.Began
 }
 
+// work is the time that servers spent, of the tries that it tells of.
+func (t *Trail) work() (us int64) {
+	if t == nil {
+		return 0
+	}
+	for _, h := range t.Hops[:min(t.Tries, len(t.Hops))] {
+		us += h.Took
+	}
+	return us
+}
+
 // causeOf is why a run that ended like that has no result.
 func causeOf(o Outcome) Cause {
 	switch o {
--- a/internal/metering/desk.go
+++ b/internal/metering/desk.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 
+	"shalesail/internal/peers/accounts"
 	"shalesail/internal/store"
 	"shalesail/internal/usage"
 )
@@ -23,16 +24,17 @@
 // desk is where the account is kept: it takes uses out of the ring, has the account on the disk, and gives out statements. Every
 // step may fail or be the last one, and the next desk goes on from what is there. It is used by one goroutine.
 type desk struct {
-	fs    store.FS
-	led   *usage.Ledger
-	ring  *usage.Ring
-	every int64 // microseconds between two keeps, while something was counted
-	taken uint64
-	lost  uint64 // as the ring said last
-	dirty bool
-	kept  int64 // when that was done last
-	wrote int   // bytes, then
-	names []string
+	fs     store.FS
+	led    *usage.Ledger
+	ring   *usage.Ring
+	every  int64 // microseconds between two keeps, while something was counted
+	taken  uint64
+	lost   uint64 // as the ring said last
+	dirty  bool
+	kept   int64 // when that was done last
+	wrote  int   // bytes, then
+	names  []string
+	copied *copied // nil: nobody else is told
 }
 
 // found is what a start met.
@@ -44,8 +46,9 @@
 }
 
 // openDesk goes on with the account of a folder, or begins one. old is the ring that the last life left, empty if there is none;
+// anew: it is ended, and another one begun, as others may have ended it.
 // powered tells that the machine has run on since then: its files are as that life left them, and not as a disk kept them.
-func openDesk(fsys store.FS, set usage.Settings, every, now int64, life string, old []byte, powered bool) (*desk, found, error) {
+func openDesk(fsys store.FS, set usage.Settings, every, now int64, life string, old []byte, powered, anew bool) (*desk, found, error) {
 	d := &desk{fs: fsys, every: every}
 	var f found
 	b, err := fsys.Read(stateFile)
@@ -77,7 +80,26 @@
 			return nil, f, err
 		}
 	}
-	return d, f, d.keep(now)
+	if err := d.keep(now); err != nil || f.New || !anew && !d.led.Over() {
+		return d, f, err
+	}
+	return d, f, d.begin(set, life, now)
+}
+
+// begin ends the account and begins another one. What the ring held is on the disk by now.
+func (d *desk) begin(set usage.Settings, life string, now int64) error {
+	d.led.End()
+	if err := d.keep(now); err != nil {
+		return err
+	}
+	if err := d.fs.Remove(ringFile); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+	if err := d.export(now); err != nil {
+		return err
+	}
+	d.led, d.taken = usage.After(d.led, set, life, now), 0
+	return d.keep(now)
 }
 
 // noStatements refuses a folder that has statements of the instance and no account: a new account would number them again.
@@ -108,6 +130,21 @@
 
 // step does what is due.
 func (d *desk) step(now int64) error {
+	d.take()
+	s := d.led.Seal(now)
+	if s != nil {
+		d.copied.sealed(s, now)
+	}
+	if s != nil || d.dirty && (d.ring.Used(d.taken) > 0.5 || now-d.kept >= d.every || now < d.kept) {
+		if err := d.keep(now); err != nil {
+			return err
+		}
+	}
+	return d.export(now)
+}
+
+// take takes uses out of the ring.
+func (d *desk) take() {
 	for {
 		u, ok := d.ring.Take(d.taken + 1)
 		if !ok {
@@ -116,18 +153,12 @@
 		d.led.Add(u)
 		d.taken++
 		d.dirty = true
+		d.copied.use(&u, d.taken)
 	}
 	if lost := d.ring.Lost(); lost != d.lost {
-		d.led.RingLost(d.ring)
+		d.copied.step(accounts.Step{Lost: d.led.RingLost(d.ring)})
 		d.lost, d.dirty = lost, true
 	}
-	sealed := d.led.Seal(now) != nil
-	if sealed || d.dirty && (d.ring.Used(d.taken) > 0.5 || now-d.kept >= d.every || now < d.kept) {
-		if err := d.keep(now); err != nil {
-			return err
-		}
-	}
-	return d.export(now)
 }
 
 // keep has the account on the disk, whole or as it was.
@@ -178,6 +209,9 @@
 		if s == nil {
 			return nil
 		}
+		if !d.copied.mayTell(s) {
+			return nil
+		}
 		name, part := s.Name(), s.Name()+partMark
 		if !naming {
 			if _, err := d.fs.Read(name); err == nil {
--- a/internal/metering/desk_test.go
+++ b/internal/metering/desk_test.go
@@ -29,15 +29,22 @@
 	now  int64
 	seen map[string]string // digests of the statements that were taken, by their names
 	list []*usage.Statement
+	anew bool // each process begins an account of its own
+	n    int
 }
 
 func (l *life) begin(powered bool) error {
-	d, _, err := openDesk(l.disk, settings(), 5*sec, l.now, "a", l.mem, powered)
+	name := "a"
+	if l.anew {
+		l.n++
+		name = fmt.Sprint("a", l.n)
+	}
+	d, _, err := openDesk(l.disk, settings(), 5*sec, l.now, name, l.mem, powered, l.anew)
 	if err != nil {
 		return err
 	}
 	l.desk, l.mem = d, make([]byte, usage.RingSize(20))
-	d.ring = usage.NewRing(l.mem, "a", d.taken)
+	d.ring = usage.NewRing(l.mem, d.led.Life(), d.taken)
 	return nil
 }
 
@@ -84,9 +91,10 @@
 	}
 	crashes, copies := 0, 0
 	for seed := range seeds {
-		for _, power := range []bool{false, true} {
+		for way := range 4 {
+			power, anew := way&1 == 1, way&2 == 2
 			r := rand.New(rand.NewPCG(seed, 5))
-			l := &life{disk: crashfs.New(seed), now: start, seen: map[string]string{}}
+			l := &life{disk: crashfs.New(seed), now: start, seen: map[string]string{}, anew: anew}
 			noted, lost, safe := uint64(0), uint64(0), uint64(0)
 			key := uint64(0)
 			collect := func() {
@@ -166,10 +174,10 @@
 			}
 			problems := slices.DeleteFunc(bill.Problems, func(p usage.Problem) bool { return strings.Contains(p.What, "were lost") })
 			if len(problems) > 0 || got.Repeats > 0 || bill.Twice > 0 {
-				t.Fatalf("seed %d, power %v: %v, %+v, %d twice", seed, power, problems, got, bill.Twice)
+				t.Fatalf("seed %d, way %d: %v, %+v, %d twice", seed, way, problems, got, bill.Twice)
 			}
 			if !power && (uint64(got.Served) != noted || bill.Lost != lost) || power && (uint64(got.Served) > noted || uint64(got.Served)+bill.Lost < safe) {
-				t.Fatalf("seed %d, power %v: %d told of %d noted, %d on the disk or known to be gone; %d lost, %d told", seed, power, got.Served, noted, safe, lost, bill.Lost)
+				t.Fatalf("seed %d, way %d: %d told of %d noted, %d on the disk or known to be gone; %d lost, %d told", seed, way, got.Served, noted, safe, lost, bill.Lost)
 			}
 		}
 	}
--- a/internal/metering/metering.go
+++ b/internal/metering/metering.go
@@ -11,11 +11,13 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"time"
 
 	"golang.org/x/sys/unix"
 
 	"shalesail/internal/logs"
+	"shalesail/internal/peers/accounts"
 	"shalesail/internal/store"
 	"shalesail/internal/usage"
 )
@@ -35,6 +37,7 @@
 	Settings usage.Settings
 	Records  int   // uses in memory that are not yet on the disk
 	Every    int64 // between two keeps
+	Copied   bool  // others are told of it: see Join
 }
 
 // look is how often the ring is looked into, and retry how long a disk that failed is left alone.
@@ -45,8 +48,18 @@
 
 // Meter keeps the account of a running program. Note is called on the loop, the others from anywhere.
 type Meter struct {
+	name   string
+	dir    store.Dir
 	ring   *usage.Ring
 	mem    []byte
+	post   *box // for the account
+	estate *box // for those of others
+	began  time.Time
+	join   Join
+	waits  []promise
+	ended  chan struct{} // of who knows accounts of others; nil: nobody does
+	mu     sync.Mutex
+	stands Copies
 	unlock func() error
 	asks   chan func(*desk)
 	end    chan struct{}
@@ -60,7 +73,8 @@
 	if err != nil {
 		return nil, err
 	}
-	m := &Meter{unlock: unlock, asks: make(chan func(*desk), 16), end: make(chan struct{}), done: make(chan struct{})}
+	m := &Meter{name: opt.Settings.Instance, dir: dir, began: time.Now(), post: newBox(), estate: newBox(), unlock: unlock, asks: make(chan func(*desk), 16), end: make(chan struct{}),
+		done: make(chan struct{})}
 	d, f, err := m.open(dir, opt)
 	if err != nil {
 		return nil, errors.Join(err, unlock())
@@ -90,7 +104,7 @@
 	var life [6]byte
 	_, _ = rand.Read(life[:]) // it does not fail
 	now := time.Now().UnixMicro()
-	d, f, err := openDesk(dir, opt.Settings, opt.Every, now, hex.EncodeToString(life[:]), old, powered)
+	d, f, err := openDesk(dir, opt.Settings, opt.Every, now, hex.EncodeToString(life[:]), old, powered, opt.Copied)
 	if err != nil {
 		return nil, f, err
 	}
@@ -135,15 +149,22 @@
 // Ask has fn look at the account beside the loop.
 func (m *Meter) Ask(fn func(*usage.Ledger)) error { return m.ask(func(d *desk) { fn(d.led) }) }
 
-// Correct takes a correction, and tells done once it is on the disk, or why not; known: it had been taken before.
+// Correct takes a correction, and tells done once it is on the disk, and known to others if any are told, or why not; known: it had been taken before.
 func (m *Meter) Correct(c usage.Correction, done func(known bool, err error)) error {
 	return m.ask(func(d *desk) {
 		now := time.Now().UnixMicro()
 		known, err := d.led.Correct(c, now)
+		if err == nil && !known {
+			d.copied.step(accounts.Step{Fix: &c, At: now})
+		}
 		if err == nil {
 			err = d.keep(now) // also of a known one: what failed to be kept is known in memory alone
 		}
-		done(known, err)
+		if err != nil {
+			done(known, err)
+			return
+		}
+		d.copied.once(m.mono()+correctWithin, func(err error) { done(known, err) })
 	})
 }
 
@@ -170,6 +191,9 @@
 		err := d.step(time.Now().UnixMicro())
 		for _, name := range d.told() {
 			evExported.Log(name)
+			if d.copied != nil {
+				m.estate.named(name)
+			}
 		}
 		if d.lost != lost {
 			evLost.Log(d.lost-lost, "the disk did not take what was counted before")
@@ -193,11 +217,16 @@
 			if !time.Now().Before(next) {
 				step()
 			}
+			m.tell(d, true)
+		case <-m.post.kick:
+			d.take()
+			m.tell(d, false)
 		case fn := <-m.asks:
 			if !time.Now().Before(next) {
 				step()
 			}
 			fn(d)
+			m.tell(d, false)
 		case <-m.end:
 			step()
 			if d.dirty {
@@ -214,6 +243,12 @@
 // No more is noted by then.
 func (m *Meter) Close(within time.Duration) error {
 	close(m.end)
+	if m.ended != nil {
+		select {
+		case <-m.ended:
+		case <-time.After(within):
+		}
+	}
 	select {
 	case <-m.done:
 		return errors.Join(unix.Munmap(m.mem), m.unlock())
--- a/internal/peers/link/link.go
+++ b/internal/peers/link/link.go
@@ -14,6 +14,7 @@
 
 	"shalesail/internal/logs"
 	"shalesail/internal/loop"
+	"shalesail/internal/peers/accounts"
 	"shalesail/internal/peers/copies"
 	"shalesail/internal/peers/council"
 )
@@ -46,9 +47,10 @@
 
 // Frame is one message; one of its parts is there.
 type Frame struct {
-	Hello   *Hello           `cbor:"1,keyasint,omitempty"`
-	Copies  *copies.Message  `cbor:"2,keyasint,omitempty"`
-	Council *council.Message `cbor:"3,keyasint,omitempty"`
+	Hello   *Hello            `cbor:"1,keyasint,omitempty"`
+	Copies  *copies.Message   `cbor:"2,keyasint,omitempty"`
+	Council *council.Message  `cbor:"3,keyasint,omitempty"`
+	Account *accounts.Message `cbor:"4,keyasint,omitempty"`
 }
 
 // Append appends a frame.
--- a/internal/peers/party/party.go
+++ b/internal/peers/party/party.go
@@ -10,6 +10,7 @@
 	"shalesail/internal/keeper"
 	"shalesail/internal/logs"
 	"shalesail/internal/loop"
+	"shalesail/internal/peers/accounts"
 	"shalesail/internal/peers/copies"
 	"shalesail/internal/peers/council"
 	"shalesail/internal/peers/link"
@@ -41,6 +42,15 @@
 	Patience int64 // that a run or an answer waits for copies
 	Process  uint32
 	Life     uint64
+	Accounts Accounts // nil: no account of usage is kept
+}
+
+// Accounts is what knows the accounts of runners. Its methods are called on the loop, and do not wait.
+type Accounts interface {
+	Hear(m *accounts.Message)
+	Table(t *plan.Table, life uint64)
+	// Promise counts the use of a run that ended, and calls done on the loop once others know of it.
+	Promise(k core.Kept, done func(error))
 }
 
 // Table is what it needs of the core.
@@ -95,6 +105,11 @@
 		p.holder.Receive(f.Copies, p.loop.Now())
 	case f.Council != nil && f.Council.From == from:
 		p.council.Receive(f.Council, p.loop.Now())
+	case f.Account != nil && f.Account.From == from:
+		if p.cfg.Accounts != nil {
+			p.cfg.Accounts.Hear(f.Account)
+		}
+		return
 	}
 	p.flush()
 }
@@ -126,6 +141,9 @@
 				p.council.Renew(p.cfg.Life)
 			}
 			p.holder.Table(t, p.loop.Now())
+			if p.cfg.Accounts != nil {
+				p.cfg.Accounts.Table(t, p.cfg.Life)
+			}
 			p.tell(t)
 		}
 		for _, m := range p.holder.Out() {
@@ -135,6 +153,13 @@
 	}
 }
 
+// Tell sends words about accounts.
+func (p *Party) Tell(out []accounts.Message) {
+	for i := range out {
+		p.net.Send(out[i].To, &link.Frame{Account: &out[i]})
+	}
+}
+
 // tell tells of a table, not more often than somebody could read it, unless it has all copies.
 func (p *Party) tell(t *plan.Table) {
 	if p.loop.Now() < p.told+tellOver && t.Whole() < len(t.Slots) {
@@ -243,7 +268,7 @@
 	k.p.disk.Begun(c, done)
 }
 
-// Ended implements core.Keeper: it is kept once peers and disk have it.
+// Ended implements core.Keeper: it is kept once peers and disk have it, and others know of its use.
 func (k kept) Ended(c core.Kept, done func(error)) {
 	var errs error
 	rest := 1
@@ -257,6 +282,10 @@
 		rest++
 		k.p.disk.Ended(c, one)
 	}
+	if k.p.cfg.Accounts != nil && c.Result != nil && c.Waits {
+		rest++
+		k.p.cfg.Accounts.Promise(c, one)
+	}
 	k.p.put(store.Ended, c, func(a copies.Answer) { one(a.Err) })
 }
 
--- /dev/null
+++ b/internal/standin/cluster/bill.go
@@ -0,0 +1,76 @@
+package cluster
+
+import (
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"shalesail/internal/standin/judge"
+	"shalesail/internal/usage"
+)
+
+// account is the folder of a runner's account of usage.
+func (n *Node) account() string { return filepath.Join(n.disk(), "usage") }
+
+// Billed drains all runners, puts together what their folders have of uses, and holds it against what callers saw.
+func (c *Cluster) Billed() (judge.Verdict, *usage.Bill, error) {
+	var list []*usage.Statement
+	for _, n := range c.Nodes {
+		if err := n.Drain(); err != nil {
+			return nil, nil, err
+		}
+	}
+	for _, n := range c.Nodes {
+		its, err := statements(n.account())
+		if err != nil {
+			return nil, nil, err
+		}
+		list = append(list, its...)
+	}
+	b, err := usage.Reconcile(list, usage.Terms{})
+	if err != nil {
+		return nil, nil, err
+	}
+	return c.History.Billed(b, list, c.Ran(), func(key string) uint64 { return usage.KeyOf("north", "hand-in", key) }), b, nil
+}
+
+// statements are those of a folder, and the one that its account would be ended with.
+func statements(dir string) (list []*usage.Statement, err error) {
+	files, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, err
+	}
+	for _, f := range files {
+		if !strings.HasSuffix(f.Name(), ".json") {
+			continue
+		}
+		b, err := os.ReadFile(filepath.Join(dir, f.Name()))
+		if err != nil {
+			return nil, err
+		}
+		s, err := usage.ParseStatement(f.Name(), b)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, s)
+	}
+	b, err := os.ReadFile(filepath.Join(dir, "state"))
+	if errors.Is(err, fs.ErrNotExist) {
+		return list, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	led, err := usage.Look(b)
+	if err != nil {
+		return nil, err
+	}
+	led.End()
+	for s, _ := led.Next(); s != nil; s, _ = led.Next() {
+		list = append(list, s)
+		led.Exported(s)
+	}
+	return list, nil
+}
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -141,7 +141,8 @@
 	return before + after, nil
 }
 
-// Copying is an operator's file for a runner that leads hand-ins to the servers and has its keys kept by its peers, and on no disk.
+// Copying is an operator's file for a runner that leads hand-ins to the servers and has its keys kept by its peers, and on no disk; what schools use
+// it keeps on its disk, and its peers know of it.
 func Copying(n *Node) (string, error) {
 	text, err := Forgetting(n)
 	if err != nil {
@@ -161,7 +162,7 @@
 		}
 		lines = append(lines, fmt.Sprintf("    - {name: %s, address: %q, hall: %s, votes: %v}\n", o.Name, at, o.Hall, i < voters))
 	}
-	return strings.Join(lines, ""), nil
+	return strings.Join(append(lines, fmt.Sprintf("usage: {dir: %s, period_min: 1, grace_s: 1, queue: 4096}\n", n.account())), ""), os.MkdirAll(n.account(), 0o700)
 }
 
 // Ready waits until every runner is there and all copies are made.
@@ -182,6 +183,20 @@
 	}
 }
 
+// Taking waits until hand-ins are taken: sets that begin with nothing are quiet for a window.
+func (c *Cluster) Taking(within time.Duration) error {
+	for k, deadline := 1, time.Now().Add(within); ; k++ {
+		told := c.HandIn(c.Nodes[0], fmt.Sprint("first-", k))
+		if told.End == judge.Served {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return fmt.Errorf("after %v no hand-in is taken: %d", within, told.Status)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
 // Keeping is an operator's file for a runner that leads hand-ins to the servers and keeps its keys on its disk.
 func Keeping(n *Node) (string, error) {
 	keys := filepath.Join(n.disk(), "keys")
--- a/internal/standin/cluster/copies_test.go
+++ b/internal/standin/cluster/copies_test.go
@@ -20,9 +20,8 @@
 	if err := c.Ready(20 * time.Second); err != nil {
 		t.Fatal(err)
 	}
-	for told, k := (judge.Told{}), 0; told.End != judge.Served; time.Sleep(50 * time.Millisecond) { // the first sets are quiet for a window
-		k++
-		told = c.HandIn(c.Nodes[0], fmt.Sprint("first-", k))
+	if err := c.Taking(30 * time.Second); err != nil {
+		t.Fatal(err)
 	}
 	return c
 }
@@ -77,11 +76,25 @@
 	if v := c.Judge(); len(v) > 0 {
 		t.Error(v)
 	}
+	c.billed(t)
 	if n := c.History.Count(); n[judge.Served] < 100 {
 		t.Errorf("that tells nothing: %v", c)
 	}
 }
 
+// billed ends all runners and looks whether each key that was served is billed once.
+func (c *Cluster) billed(t *testing.T) {
+	t.Helper()
+	v, b, err := c.Billed()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(v) > 0 {
+		t.Error(v)
+	}
+	t.Logf("the bill: %d statements, %d there more than once, %d hand-ins in two accounts", b.Statements, b.Copies, b.Twice)
+}
+
 // until asks a runner for a key until it is told so, and gives what it was told; every other end but a refusal is one.
 func (c *Cluster) until(t *testing.T, n *Node, key string, want judge.End) judge.Told {
 	t.Helper()
@@ -144,4 +157,5 @@
 	if v := c.Judge(); len(v) > 0 {
 		t.Error(v)
 	}
+	c.billed(t) // others ended their accounts meanwhile, and they went on
 }
--- a/internal/standin/cluster/view.go
+++ b/internal/standin/cluster/view.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"shalesail/internal/control"
+	"shalesail/internal/metering"
 	"shalesail/internal/standin/judge"
 )
 
@@ -39,11 +40,12 @@
 					Slots   int      `json:"slots"`
 					Members []string `json:"members"`
 				} `json:"peers"`
+				Accounts *metering.Copies `json:"accounts"`
 			}
 			r.Silent = control.Ask(n.file("control"), control.Request{Ask: "status"}, askWithin, &s) != nil
 			r.Keys = s.Keys
 			if p := s.Peers; p != nil {
-				r.Whole = p.In && p.Closed == "" && p.Whole == p.Slots && len(p.Members) == len(c.Nodes)
+				r.Whole = p.In && p.Closed == "" && p.Whole == p.Slots && len(p.Members) == len(c.Nodes) && (s.Accounts == nil || s.Accounts.Whole())
 				r.Copied = fmt.Sprintf("%d of %d", p.Whole, p.Slots)
 			}
 		}
