Explain names requests whose copies were not to be had, and how long others waited

Need: a hand-in that was refused as other runners did not keep it was explained like one whose disk failed, and was told to come back after a second whatever the others had said.

Change: core.CopiesError and core.Sharer tell copies from the disk; the time to come back is that of the slot's primary (a quiet set says what is left of its window). Trails carry how long a request waited until its key was kept.

--- a/cmd/ryepaddle/ask.go
+++ b/cmd/ryepaddle/ask.go
@@ -154,6 +154,9 @@
 		}
 		fmt.Fprintf(&b, "; on %s: %s after %.1f ms", server, t.Outcome, t.Ms)
 	}
+	if x.KeptBy != "" {
+		fmt.Fprintf(&b, "; waited for %s %.1f ms", map[string]string{"copies": "copies", "disk": "the disk"}[x.KeptBy], x.KeptMs)
+	}
 	if x.MoreTries > 0 {
 		fmt.Fprintf(&b, "; and %d tries more", x.MoreTries)
 	}
--- a/internal/app/control.go
+++ b/internal/app/control.go
@@ -206,6 +206,8 @@
 	ComeBackMs int64   `json:"come_back_ms,omitempty"`
 	Tries      []Tried `json:"tries,omitempty"`
 	MoreTries  int     `json:"more_tries,omitempty"`
+	KeptMs     float64 `json:"kept_ms,omitempty"`    // it waited for so long until its key was kept
+	KeptBy     string  `json:"kept_by,omitempty"`    // copies or disk: on what
 	Stands     int     `json:"stands_for,omitempty"` // it is one of so many that went like it
 }
 
@@ -376,6 +378,11 @@
 	if e.WaitedMs = e.TookMs; x.Started > 0 {
 		e.WaitedMs = ms(x.Started - x.Arrived)
 	}
+	if e.KeptMs = ms(x.Kept); x.Kept > 0 {
+		if e.KeptBy = "disk"; r.peers != nil {
+			e.KeptBy = "copies"
+		}
+	}
 	if x.Cause != core.CauseNone {
 		e.Cause = x.Cause.String()
 	}
--- a/internal/core/claims.go
+++ b/internal/core/claims.go
@@ -1,6 +1,10 @@
 package core
 
-import "shalesail"
+import (
+	"cmp"
+
+	"shalesail"
+)
 
 // Claims settle between the processes of one runner which of them runs a key.
 type Claims interface {
@@ -20,15 +24,18 @@
 func (c *Core) claim(r *request) {
 	a, e := c.newAttempt(r, nil), r.entry
 	a.pending, r.running = true, a
+	asked := c.host.Now()
 	c.host.Claims.Claim(c.kept(r), claimWithin, func() bool { return e.elsewhere == 0 }, func(mine bool, err error) {
 		a.pending = false
+		r.trail.kept(c.host.Now() - asked)
 		switch {
 		case e.elsewhere != 0:
 			a.over, r.running = true, nil
 			c.yield(r)
 		case err != nil || !mine:
 			c.host.Log(evRunUnkept, a.Class, r.Name, err)
-			c.unbegun(r, a, CauseDisk, claimBack)
+			cause, back := unkeptBy(err)
+			c.unbegun(r, a, cause, cmp.Or(back, claimBack))
 		case r.answered || c.late(r) || c.host.Now() >= r.due-lateBy:
 			c.unbegun(r, a, CauseNone, 0)
 		case c.host.Keeper != nil:
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -425,7 +425,7 @@
 	if class.Effect == shalesail.Keyed && r.entry == nil && c.host.Keeper != nil {
 		if back, why := c.host.Keeper.Closed(); back > 0 {
 			c.unkept(class.Name, why)
-			r.trail.because(CauseDisk, 0, 0)
+			r.trail.because(c.shutBy(), 0, 0)
 			c.answer(r, Answer{Kind: Refused, ComeBack: back})
 			c.drop(r)
 			return Ticket(r.id)
--- a/internal/core/keeper.go
+++ b/internal/core/keeper.go
@@ -32,6 +32,32 @@
 	Patience() int64
 }
 
+// Sharer is a Keeper that keeps keys on other runners too.
+type Sharer interface {
+	Keeper
+	// Apart tells whether it is for want of them that no new key can be taken.
+	Apart() bool
+}
+
+// CopiesError is that of a key that could not be kept on other runners.
+type CopiesError struct {
+	Back int64 // microseconds after which it may be; 0: not known
+	Err  error
+}
+
+func (e *CopiesError) Error() string { return e.Err.Error() }
+
+// Unwrap gives what went wrong.
+func (e *CopiesError) Unwrap() error { return e.Err }
+
+// unkeptBy is why a key is not kept, and when to come back; nought: not known.
+func unkeptBy(err error) (Cause, int64) {
+	if copies := (*CopiesError)(nil); errors.As(err, &copies) {
+		return CauseCopies, copies.Back
+	}
+	return CauseDisk, 0
+}
+
 // Restore takes what was kept in earlier lives of the program. A run that had begun and did not end is in doubt: it may have run,
 // and is never run again. It reports how many keys are of classes or tenants that there are not any more.
 func (c *Core) Restore(keys []Kept) (strange int) {
@@ -113,10 +139,12 @@
 	}
 	a.pending = true
 	var stop func()
+	asked := c.host.Now()
 	settle := func(err error) {
 		if !a.pending {
 			return
 		}
+		r.trail.kept(c.host.Now() - asked)
 		a.pending = false
 		stop()
 		c.begun(r, a, k, err)
@@ -137,7 +165,15 @@
 	}
 	c.host.Keeper.Forgot(k)
 	back, _ := c.host.Keeper.Closed()
-	c.unbegun(r, a, CauseDisk, back)
+	c.unbegun(r, a, c.shutBy(), back)
+}
+
+// shutBy is why the keeper takes no new keys.
+func (c *Core) shutBy() Cause {
+	if s, ok := c.host.Keeper.(Sharer); ok && s.Apart() {
+		return CauseCopies
+	}
+	return CauseDisk
 }
 
 // hold has the end of a run kept, and then answers it and its repeats. The module hears at once that the run is over; the
@@ -155,12 +191,13 @@
 		k.Result, k.How = nil, howOf(o)
 	}
 	var stop func()
-	over := false
+	over, asked := false, c.host.Now()
 	finish := func(err error) {
 		if over {
 			return
 		}
 		over = true
+		r.trail.kept(c.host.Now() - asked)
 		stop()
 		if err != nil {
 			c.host.Log(evResultUnkept, k.Class, r.Name, err)
--- a/internal/core/trail.go
+++ b/internal/core/trail.go
@@ -25,6 +25,7 @@
 	CauseRefusedRun                    // the run was refused, and nothing ran
 	CausePool                          // it would have come too late for the slots of its pool; seconds it would take, and that are left
 	CauseLine                          // the line of its pool was full; requests in it, and that it holds
+	CauseCopies                        // its copies on other runners were not to be had
 )
 
 var causeNames = map[Cause]string{
@@ -37,7 +38,7 @@
 	CauseInDoubt: "in doubt after a restart", CauseRepeat: "repeats another try", CauseForgotten: "what it repeats never ran",
 	CauseNobody: "no server took it", CauseServerFault: "its server failed it", CauseBroken: "its run was cut off", CauseRunOverdue: "its run took too long",
 	CauseStranger: "nobody knows it", CauseDeadline: "its deadline came", CauseGone: "its caller went", CauseRefusedRun: "its run was refused",
-	CausePool: "no slot of its pool in time", CauseLine: "line of its pool full"}
+	CausePool: "no slot of its pool in time", CauseLine: "line of its pool full", CauseCopies: "its copies were not to be had"}
 
 func (c Cause) String() string { return causeNames[c] }
 
@@ -76,7 +77,8 @@
 	Value, Limit  float64
 	ComeBack      int64
 	Hops          [mostHops]Hop
-	Tries         int // those beyond the hops are counted alone
+	Tries         int   // those beyond the hops are counted alone
+	Kept          int64 // microseconds that it waited until its key was kept, on the disk or on other runners
 }
 
 // trail begins one, where anybody takes them.
@@ -136,6 +138,13 @@
 	h.Server, h.Outcome, h.Took = a.Server, o, now-h.Began
 }
 
+// kept notes a wait for its key to be kept.
+func (t *Trail) kept(us int64) {
+	if t != nil {
+		t.Kept += us
+	}
+}
+
 // work is the time that servers spent, of the tries that it tells of.
 func (t *Trail) work() (us int64) {
 	if t == nil {
--- a/internal/peers/party/party.go
+++ b/internal/peers/party/party.go
@@ -219,11 +219,19 @@
 			return
 		}
 		if !again {
-			done(a.Err == nil && a.Word == copies.Mine && free(), a.Err)
+			done(a.Err == nil && a.Word == copies.Mine && free(), apart(a))
 		}
 	})
 }
 
+// apart is the error of an answer; nil: there is none.
+func apart(a copies.Answer) error {
+	if a.Err == nil {
+		return nil
+	}
+	return &core.CopiesError{Back: a.Back, Err: a.Err}
+}
+
 // hear tells the core of another's run.
 func (p *Party) hear(a copies.Answer) {
 	r := *a.Record
@@ -256,6 +264,12 @@
 	return k.p.disk.Closed()
 }
 
+// Apart implements core.Sharer.
+func (k kept) Apart() bool {
+	back, _ := k.p.holder.Closed(k.p.loop.Now())
+	return back > 0
+}
+
 // Patience implements core.Keeper.
 func (k kept) Patience() int64 { return k.p.cfg.Patience }
 
--- a/internal/standin/cluster/bill.go
+++ b/internal/standin/cluster/bill.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	return c.History.Billed(b, list, c.Ran(), func(key string) uint64 { return usage.KeyOf("north", "hand-in", key) }), b, nil
+	return c.History.Billed("hand-in", b, list, c.Ran(), func(key string) uint64 { return usage.KeyOf("north", "hand-in", key) }), b, nil
 }
 
 // statements are those of a folder, and the one that its account would be ended with.
--- a/internal/standin/cluster/copies_test.go
+++ b/internal/standin/cluster/copies_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"shalesail/internal/app"
+	"shalesail/internal/control"
 	"shalesail/internal/standin/judge"
 )
 
@@ -133,6 +135,10 @@
 			t.Errorf("cut off a check gets %d", status)
 		}
 	}
+	var said app.Entries
+	if err := control.Ask(one.file("control"), control.Request{Ask: "explain", Cause: "its copies were not to be had", Most: 3}, time.Second, &said); err != nil || len(said.Entries) == 0 {
+		t.Errorf("it explains none by its copies: %v", err)
+	}
 	if took := time.Since(began); took > 5*time.Second {
 		t.Errorf("ten answers took %v", took)
 	}
--- a/internal/standin/judge/bill.go
+++ b/internal/standin/judge/bill.go
@@ -6,9 +6,9 @@
 	"shalesail/internal/usage"
 )
 
-// Billed holds a bill against what callers were told and what servers ran: each key that was served to anybody is billed, and billed once, and
+// Billed holds the bill of a class of keyed requests against what callers were told and what servers ran: each key that was served to anybody is billed, and billed once, and
 // nothing that did not run is. KeyOf is what stands for a key in statements.
-func (h *History) Billed(b *usage.Bill, list []*usage.Statement, ran map[string]int, keyOf func(string) uint64) (v Verdict) {
+func (h *History) Billed(class string, b *usage.Bill, list []*usage.Statement, ran map[string]int, keyOf func(string) uint64) (v Verdict) {
 	for _, p := range b.Problems {
 		v = append(v, "bill: "+p.String())
 	}
@@ -36,7 +36,9 @@
 	}
 	served := int64(0)
 	for _, l := range b.Lines {
-		served += l.Served
+		if l.Class == class {
+			served += l.Served
+		}
 	}
 	if served < int64(len(seen)) || served > int64(len(ran)) {
 		v = append(v, fmt.Sprintf("%d are billed; %d keys were served and %d ran", served, len(seen), len(ran)))
