--- a/internal/peers/link/link.go
+++ b/internal/peers/link/link.go
@@ -17,6 +17,7 @@
 	"shalesail/internal/peers/accounts"
 	"shalesail/internal/peers/copies"
 	"shalesail/internal/peers/council"
+	"shalesail/internal/peers/grid"
 )
 
 // What is told to operators.
@@ -33,10 +34,16 @@
 	mostQueue = 4 << 20 // bytes that wait for one peer
 	again     = 200_000 // microseconds before a peer that cannot be reached is dialled again
 	helloIn   = 2_000_000
+	relayFor  = 300_000    // microseconds for which a relay is kept to: words keep their order, and one that hangs is not kept to for long
+	mostExtra = 8          // links beside those of the grid, to whom no relay leads
+	idleFor   = 10_000_000 // after which such a link ends
 	format    = 1
 )
 
-var errNotInFile = errors.New("link: it is not in the file any more")
+var (
+	errNotInFile = errors.New("link: it is not in the file any more")
+	errIdle      = errors.New("link: nobody uses it")
+)
 
 var table = crc32.MakeTable(crc32.Castagnoli)
 
@@ -53,6 +60,8 @@
 	Copies  *copies.Message   `cbor:"2,keyasint,omitempty"`
 	Council *council.Message  `cbor:"3,keyasint,omitempty"`
 	Account *accounts.Message `cbor:"4,keyasint,omitempty"`
+	To      string            `cbor:"5,keyasint,omitempty"` // of one that a relay is to pass on: whose it is,
+	From    string            `cbor:"6,keyasint,omitempty"` // and who says it
 }
 
 // Append appends a frame.
@@ -113,18 +122,22 @@
 	Name         string
 	Listen       netip.AddrPort
 	Peers        []Peer // the others
+	Mesh         int    // up to so many runners all have links with all; 0: any number
 }
 
 // Net is all links of this runner.
 type Net struct {
-	loop  *loop.Loop
-	cfg   Config
-	ln    *loop.Listener
-	peers map[string]*out
-	ins   map[*in]bool
-	heard func(from string, f *Frame)
-	Sent  int64 // messages
-	Lost  int64 // of them that found no way
+	loop   *loop.Loop
+	cfg    Config
+	ln     *loop.Listener
+	peers  map[string]*out
+	ins    map[*in]bool
+	grid   *grid.Grid
+	lost   map[string]bool // who is held for lost, and passes nothing on
+	heard  func(from string, f *Frame)
+	Sent   int64 // messages
+	Lost   int64 // of them that found no way
+	Passed int64 // messages between others
 }
 
 // Open listens, and tells what comes of peers that the file names.
@@ -133,6 +146,8 @@
 	for _, p := range cfg.Peers {
 		n.peers[p.Name] = &out{net: n, peer: p}
 	}
+	n.place()
+	l.Every(idleFor/2, n.sweep)
 	var err error
 	// Each peer has one connection; another one may come before the end of the last is seen.
 	n.ln, err = l.Listen(cfg.Listen, 2*len(cfg.Peers)+4, loop.Limits{In: head + maxFrame, Out: 64}, n.accept, nil)
@@ -163,6 +178,69 @@
 		}
 	}
 	n.cfg.Peers = peers
+	n.place()
+}
+
+// place stands the runners of the file in their grid.
+func (n *Net) place() {
+	names := []string{n.cfg.Name}
+	for _, p := range n.cfg.Peers {
+		names = append(names, p.Name)
+	}
+	mesh := n.cfg.Mesh
+	if mesh == 0 {
+		mesh = len(names)
+	}
+	n.grid = grid.New(names, mesh)
+}
+
+// near tells whether there is to be a link with a peer.
+func (n *Net) near(name string) bool { return n.grid.Near(n.cfg.Name, name) }
+
+// SetLost takes who is held for lost.
+func (n *Net) SetLost(names map[string]bool) { n.lost = names }
+
+// Links is how many connections there are to peers.
+func (n *Net) Links() (links int) {
+	for _, p := range n.peers {
+		if p.conn != nil {
+			links++
+		}
+	}
+	return links
+}
+
+// sweep ends the links beside those of the grid that nobody uses.
+func (n *Net) sweep() {
+	for name, p := range n.peers {
+		if p.conn != nil && !n.near(name) && n.loop.Now()-p.used > idleFor {
+			p.conn.Close(errIdle)
+		}
+	}
+}
+
+// way is the link that leads to a peer: its own, that of a relay, or one beside those of the grid while no relay is to be had; nil: there is none.
+func (n *Net) way(to *out) *out {
+	if n.near(to.peer.Name) || to.conn != nil {
+		return to
+	}
+	relays := n.grid.Relays(n.cfg.Name, to.peer.Name)
+	turn := int(n.loop.Now() / relayFor % int64(max(len(relays), 1)))
+	for i := range relays {
+		if r := n.peers[relays[(turn+i)%len(relays)]]; r != nil && !r.down && !n.lost[r.peer.Name] {
+			return r
+		}
+	}
+	extra := 0
+	for name, p := range n.peers {
+		if p.conn != nil && !n.near(name) {
+			extra++
+		}
+	}
+	if extra >= mostExtra {
+		return nil
+	}
+	return to
 }
 
 // Addr is where it listens.
@@ -170,9 +248,44 @@
 
 // Send says something to a peer, as soon as there is a link.
 func (n *Net) Send(to string, f *Frame) {
-	if p := n.peers[to]; p != nil {
-		n.Sent++
+	p := n.peers[to]
+	if p == nil {
+		return
+	}
+	n.Sent++
+	way := n.way(p)
+	switch {
+	case way == nil:
+		n.Lost++
+	case way == p:
 		p.send(f)
+	default:
+		over := *f
+		over.To, over.From = to, n.cfg.Name
+		way.send(&over)
+	}
+}
+
+// pass passes a message on between two others.
+func (n *Net) pass(f *Frame) {
+	p := n.peers[f.To]
+	if p == nil || !n.near(f.To) {
+		n.Lost++
+		return
+	}
+	n.Passed++
+	p.send(f)
+}
+
+// take takes a message of a peer: its own, or one of another that it passes on.
+func (n *Net) take(from string, f *Frame) {
+	switch {
+	case f.To == "":
+		n.heard(from, f)
+	case f.To != n.cfg.Name:
+		n.pass(f)
+	case n.peers[f.From] != nil:
+		n.heard(f.From, f)
 	}
 }
 
@@ -183,7 +296,9 @@
 	conn *loop.Conn // nil: there is none
 	up   bool
 	next int64
+	used int64
 	told bool // that it is down
+	down bool // the last connection failed, and there has been none since
 }
 
 func (p *out) send(f *Frame) {
@@ -197,6 +312,7 @@
 		p.net.Lost++
 		return
 	}
+	p.used = l.Now()
 	p.write(f)
 }
 
@@ -211,7 +327,7 @@
 
 // Connected implements loop.Handler.
 func (p *out) Connected() {
-	p.up, p.told = true, false
+	p.up, p.told, p.down = true, false, false
 	evUp.Log(p.peer.Name)
 }
 
@@ -229,7 +345,7 @@
 		p.told = true
 		evDown.Log(p.peer.Name, err)
 	}
-	p.conn, p.up = nil, false
+	p.conn, p.up, p.down = nil, false, !errors.Is(err, errIdle)
 }
 
 // in is a connection of a peer.
@@ -268,7 +384,7 @@
 		used += n
 		switch h := f.Hello; {
 		case i.name != "":
-			i.net.heard(i.name, f)
+			i.net.take(i.name, f)
 		case h == nil:
 			i.turn("", "it does not say who it is")
 			return used, nil
--- a/internal/peers/link/link_test.go
+++ b/internal/peers/link/link_test.go
@@ -121,3 +121,54 @@
 		}
 	}
 }
+
+// Of four in a grid one reaches another over the two in between, whichever of them is held for lost, and by itself if both are. It is heard in its own
+// name, and what is passed on for a stranger is not.
+func TestRelays(t *testing.T) {
+	l, err := loop.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	l.After(20_000_000, l.Stop)
+	names := []string{"n1", "n2", "n3", "n4"}
+	nets := map[string]*Net{}
+	heard := map[uint64]string{}
+	for _, name := range names {
+		nets[name], err = Open(l, Config{Installation: "x", Name: name, Listen: any4, Mesh: 1}, func(from string, f *Frame) { heard[f.Council.Version] = name + " from " + from })
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, name := range names {
+		var peers []Peer
+		for _, o := range names {
+			if o != name {
+				peers = append(peers, Peer{o, nets[o].Addr()})
+			}
+		}
+		nets[name].SetPeers(peers)
+	}
+	one := nets["n1"]
+	say := func(v uint64) { one.Send("n4", &Frame{Council: &council.Message{Version: v}}) }
+	say(1)
+	nets["n2"].Send("n4", &Frame{Council: &council.Message{Version: 9}, To: "n4", From: "n7"})
+	var passed []int64
+	step := func(d int64, fn func()) {
+		l.After(d, func() { passed = append(passed, nets["n2"].Passed, nets["n3"].Passed); fn() })
+	}
+	step(400_000, func() { one.SetLost(map[string]bool{"n2": true}); say(2) })
+	step(800_000, func() { one.SetLost(map[string]bool{"n3": true}); say(3) })
+	step(1_200_000, func() { one.SetLost(map[string]bool{"n2": true, "n3": true}); say(4) })
+	step(1_600_000, l.Stop)
+	if err := l.Run(); err != nil {
+		t.Fatal(err)
+	}
+	want := "n4 from n1"
+	if diff := cmp.Diff(map[uint64]string{1: want, 2: want, 3: want, 4: want}, heard); diff != "" {
+		t.Error(diff)
+	}
+	if passed[0]+passed[1] != 1 || passed[3]-passed[1] != 0 && passed[2]-passed[0] != 0 || passed[6]+passed[7] != 3 || one.Links() != 3 {
+		t.Errorf("n2 and n3 passed on %v; n1 has %d links", passed, one.Links())
+	}
+}
