--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -102,6 +102,7 @@
 	defer r.endRecord()
 	defer r.endTraces()
 	defer r.endMeter()
+	defer r.endPeers()
 	err = l.Run()
 	if r.keep != nil {
 		err = errors.Join(err, r.keep.Close())
--- a/internal/app/control.go
+++ b/internal/app/control.go
@@ -129,6 +129,10 @@
 		{Name: "ryepaddle_peers_members", Help: "Runners that are in the table.", Value: float64(len(p.Members))},
 		{Name: "ryepaddle_peers_slots", Help: "Parts of the keys.", Value: float64(p.Slots)},
 		{Name: "ryepaddle_peers_slots_whole", Help: "Parts of the keys that have all their copies.", Value: float64(p.Whole)},
+		{Name: "ryepaddle_peers_held_bytes", Help: "What is held of keys for others and itself, about.", Value: float64(p.Bytes)},
+		{Name: "ryepaddle_peers_copied_bytes_total", Help: "What was sent to bring others up.", Value: float64(p.Copied), Total: true},
+		{Name: "ryepaddle_peers_links", Help: "Connections to peers.", Value: float64(p.Links)},
+		{Name: "ryepaddle_peers_messages_total", Help: "Messages to peers.", Labels: map[string]string{"what": "passed on"}, Value: float64(p.Passed), Total: true},
 		{Name: "ryepaddle_peers_messages_total", Help: "Messages to peers.", Labels: map[string]string{"what": "sent"}, Value: float64(p.Messages), Total: true},
 		{Name: "ryepaddle_peers_messages_total", Help: "Messages to peers.", Labels: map[string]string{"what": "dropped"}, Value: float64(p.Dropped), Total: true}}
 	if r.meter == nil {
--- a/internal/app/events.go
+++ b/internal/app/events.go
@@ -30,6 +30,7 @@
 	evTracesLost   = logs.Define("traces.lost", slog.LevelWarn, "queue", "errors", "error")
 	evUsageEnd     = logs.Define("usage.unfinished", slog.LevelError, "error")
 	evLevels       = logs.Define("log.levels", slog.LevelInfo, "levels")
+	evPeersEnd     = logs.Define("peers.unfinished", slog.LevelWarn, "error")
 	evAnswered     = logs.Define("request.answered", slog.LevelDebug, "request", "class", "end", "cause", "ms", "tries", "server").Most(1000)
 	evServer       = logs.Define("status.server", slog.LevelInfo, "group", "server", "address", "hall", "weight", "state", "for_s", "cause", "part",
 		"open", "limit", "ms", "requests", "failed", "changes").Most(100 * tableMost)
--- a/internal/app/peers.go
+++ b/internal/app/peers.go
@@ -22,8 +22,8 @@
 		return nil
 	}
 	s := &r.op.Peers
-	cfg := party.Config{Links: link.Config{Installation: s.Installation, Name: r.cfg.Name, Listen: config.MustAddr(s.Listen)}, Slots: int(s.Slots),
-		Copies: int(s.Copies), Patience: s.PatienceMs * 1000, Rate: s.RepairKB << 10, Process: uint32(life), Life: life<<20 | 1}
+	cfg := party.Config{Links: link.Config{Installation: s.Installation, Name: r.cfg.Name, Listen: config.MustAddr(s.Listen), Mesh: int(s.Mesh)}, Slots: int(s.Slots),
+		Copies: int(s.Copies), Patience: s.PatienceMs * 1000, Rate: s.RepairKB << 10, Dir: s.Dir, Most: int(cmp.Or(s.MemoryMB, int64(r.cfg.MemoryMB)/4)) << 20, Process: uint32(life), Life: life<<20 | 1}
 	for _, c := range r.cfg.Settings.Classes {
 		cfg.Window = max(cfg.Window, c.Window.Microseconds())
 	}
@@ -48,6 +48,15 @@
 	return r.meter.Join(metering.Join{Process: cfg.Process, Send: send, Deliver: r.loop.Deliver})
 }
 
+// endPeers gives the peers' folder back.
+func (r *Program) endPeers() {
+	if r.peers != nil {
+		if err := r.peers.Close(); err != nil {
+			evPeersEnd.Log(err)
+		}
+	}
+}
+
 // members are the others of a file, and the names of all.
 func members(s *config.Peers, self string) (others []link.Peer, known []string) {
 	for _, m := range s.Members {
--- a/internal/config/peers.go
+++ b/internal/config/peers.go
@@ -9,9 +9,12 @@
 type Peers struct {
 	Installation string `yaml:"installation"`
 	Listen       string `yaml:"listen"` // where peers reach this runner; empty: nothing is copied
+	Dir          string `yaml:"dir"`    // on a disk that lasts; empty: none
 	Copies       int64  `yaml:"copies"` // beside the first
 	Slots        int64  `yaml:"slots"`  // parts of the keys
 	PatienceMs   int64  `yaml:"patience_ms"`
+	Mesh         int64  `yaml:"mesh"`      // up to so many members all have links with all
+	MemoryMB     int64  `yaml:"memory_mb"` // of what it holds for others and itself; 0: a quarter of memory_mb
 	RepairKB     int64  `yaml:"repair_kb"` // a second, to runners that are brought up
 	Members      []Peer `yaml:"members"`
 }
@@ -66,6 +69,11 @@
 	if a, err := netip.ParseAddrPort(s.Listen); err != nil || !a.Addr().Is4() {
 		return o.doc.Bad("peers.listen", "%q is no IPv4 address with a port", s.Listen)
 	}
+	if s.Dir != "" {
+		if err := o.checkFolder("peers.dir", &s.Dir); err != nil {
+			return err
+		}
+	}
 	voters, here := 0, false
 	names, addresses := map[string]bool{}, map[netip.AddrPort]string{}
 	for i := range s.Members {
--- a/internal/peers/copies/ask.go
+++ b/internal/peers/copies/ask.go
@@ -168,6 +168,10 @@
 			tell(Shut, wait)
 			return
 		}
+		if h.cfg.Most > 0 && h.Bytes >= h.cfg.Most { // what was taken is kept, and its end too
+			tell(Shut, fullFor)
+			return
+		}
 		once(h.take(m.Slot, s, r, h.now+left), Mine)
 	case r.Kind == store.Begun && it.record.Owner == r.Owner && it.record.Kind == store.Begun:
 		once(it, Mine) // it is said again
--- a/internal/peers/copies/copies.go
+++ b/internal/peers/copies/copies.go
@@ -14,6 +14,7 @@
 	resend    = 100_000    // after which what had no answer is said again
 	againIn   = 20_000     // after which a primary that could not yet is asked again
 	sweepTime = 1_000_000
+	fullFor   = 1_000_000 // after which a key that found no room may come again
 	chunk     = 256 << 10 // bytes of records in one message
 )
 
@@ -30,6 +31,7 @@
 	Life   uint64 // of its membership
 	Window int64  // the longest of all classes
 	Lease  int64  // for so long after the council was heard new keys are taken
+	Most   int    // bytes of records, from which on no new key is taken; 0: any number
 	Rate   int64  // bytes a second that go to those who are joining; 0: any number
 }
 
@@ -68,6 +70,8 @@
 	heard  int64 // the council
 	swept  int64
 	now    int64
+	Bytes  int   // of the records that are held, about, as of the last tick
+	Copied int64 // bytes of records that were sent to bring holders up
 	room   int64 // bytes that may go to those who are joining now
 	filled int64 // when that was looked at last
 	out    []Message
@@ -369,9 +373,10 @@
 			m.Eras = append(m.Eras, e)
 		}
 	}
-	if joins {
-		for _, e := range entries {
-			h.room -= int64(sizeOf(e.Record))
+	for _, e := range entries {
+		size := int64(sizeOf(e.Record))
+		if h.Copied += size; joins {
+			h.room -= size
 		}
 	}
 	p.sent, p.at, p.reset, p.owed = upTo, h.now, false, false
@@ -423,6 +428,12 @@
 		return
 	}
 	h.refill()
+	h.Bytes = 0
+	for _, s := range h.slots {
+		if s != nil {
+			h.Bytes += s.bytes
+		}
+	}
 	for i, s := range h.slots {
 		if s == nil || !s.leads {
 			continue
--- a/internal/peers/copies/copies_test.go
+++ b/internal/peers/copies/copies_test.go
@@ -1,11 +1,19 @@
 package copies
 
 import (
+	"fmt"
+	"maps"
 	"os"
 	"slices"
 	"strconv"
 	"testing"
 
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"shalesail/internal/peers/grid"
 	"shalesail/internal/peers/plan"
 	"shalesail/internal/store"
 )
@@ -209,3 +217,155 @@
 		}
 	}
 }
+
+// At its bound a holder takes no new keys, keeps what it has taken, and takes new ones once windows are over.
+func TestMemoryAtItsBound(t *testing.T) {
+	table, err := plan.New(1, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{"n1", "n2"} {
+		table.Apply(plan.Change{Kind: plan.In, Member: plan.Member{Name: name, Life: 1, Process: 1}})
+	}
+	table.Apply(plan.Change{Kind: plan.Whole, Member: *table.Member("n2"), Epoch: table.Slots[0].Epoch})
+	table.Slots[0].Quiet = 0
+	h := New(Config{Name: "n1", Life: 1, Lease: 1_000_000 * ms, Most: 10_000}, nil, 0)
+	now, no := int64(1), uint64(0)
+	h.Table(table, now)
+	answer := func() { // the other holder keeps all
+		for _, m := range h.Out() {
+			no++
+			reply := &Message{Kind: Kept, From: "n2", Life: 1, No: no, Epoch: m.Epoch, Seq: m.Seq}
+			if m.Kind == Open {
+				reply.Kind = Opened
+			}
+			h.Receive(reply, now)
+		}
+	}
+	put := func(key string, kind store.Kind, size int) (a Answer) {
+		r := &store.Record{Kind: kind, Name: store.Name{Key: key}, Owner: 1 << 32}
+		if size > 0 {
+			r.Result = &store.Result{Body: make([]byte, size)}
+		}
+		h.Heard(now)
+		h.Put(r, 500*ms, 100*ms, now, func(x Answer) { a = x })
+		for range 3 {
+			now += ms
+			h.Tick(now)
+			answer()
+		}
+		return a
+	}
+	answer()
+	taken := 0
+	for ; taken < 100; taken++ {
+		key := strconv.Itoa(taken)
+		a := put(key, store.Begun, 0)
+		if a.Word == Shut {
+			if a.Back != fullFor {
+				t.Errorf("it says to come back after %d", a.Back)
+			}
+			break
+		}
+		if a.Word != Mine {
+			t.Fatalf("%s: %+v", key, a)
+		}
+		if a = put(key, store.Ended, 2000); a.Word != Done {
+			t.Fatalf("the end of %s: %+v", key, a)
+		}
+	}
+	if taken < 4 || taken > 6 || len(h.slots[0].items) != taken {
+		t.Errorf("%d keys are taken, %d held", taken, len(h.slots[0].items))
+	}
+	now += 500*ms + lateRead + 2*sweepTime
+	if h.Tick(now); len(h.slots[0].items) > 0 || h.slots[0].bytes != 0 {
+		t.Errorf("%d keys of %d bytes are left", len(h.slots[0].items), h.slots[0].bytes)
+	}
+	h.Tick(now + ms)
+	if a := put("new", store.Begun, 0); a.Word != Mine {
+		t.Errorf("a key after that: %+v", a)
+	}
+}
+
+// Days at 5 to 300 runners, for a run by hand: RYEPADDLE_FLEETS names the chart that is made of what each runner says and of its links. A runner gets
+// two keys a second whatever the size; runners are lost, stopped and cut off meanwhile, and no promise is broken.
+func TestFleets(t *testing.T) {
+	file := os.Getenv("RYEPADDLE_FLEETS")
+	if file == "" {
+		t.Skip("RYEPADDLE_FLEETS names no chart")
+	}
+	var said, links plotter.XYs
+	for _, runners := range []int{5, 20, 100, 300} {
+		w := newWorld(uint64(runners), runners, 2, 256)
+		if w.grid = nil; runners > 32 {
+			w.grid = grid.New(slices.Collect(maps.Keys(w.named)), 32)
+		}
+		w.run(window + lateRead + second)
+		const over = 20 * second
+		for _, n := range w.nodes {
+			n.sent = 0
+			clear(n.links)
+		}
+		for k := range 2 * runners * int(over/second) {
+			key, first := fmt.Sprint("k", k), w.between(0, over)
+			for range 2 {
+				at := first + w.between(0, second)
+				w.after(at, func() {
+					if n := w.nodes[w.r.IntN(runners)]; n.up && !n.stopped {
+						n.try(key, first+window-at)
+					}
+				})
+			}
+		}
+		w.run(w.now + over)
+		most, mean, near := 0, 0, 0
+		for _, n := range w.nodes[5:] { // that do not vote
+			most, mean, near = max(most, n.sent), mean+n.sent, max(near, len(n.links))
+		}
+		if runners == 5 {
+			for _, n := range w.nodes {
+				most, mean, near = max(most, n.sent), mean+n.sent, max(near, len(n.links))
+			}
+		}
+		each := float64(mean) / float64(max(runners-5, 5)) / float64(over/second)
+		said, links = append(said, plotter.XY{X: float64(runners), Y: each}), append(links, plotter.XY{X: float64(runners), Y: float64(near)})
+		calm := w.served
+		for range 6 { // the day goes on with faults
+			n := w.nodes[w.r.IntN(runners)]
+			w.after(w.between(0, 5*second), func() {
+				if w.r.IntN(2) == 0 {
+					n.crash(second, "empty")
+				} else {
+					n.stop(3 * second)
+				}
+			})
+		}
+		for k := range 2 * runners * 5 {
+			key, first := fmt.Sprint("f", k), w.between(0, 5*second)
+			for range 4 {
+				at := first + w.between(0, window-second)
+				w.after(at, func() {
+					if n := w.nodes[w.r.IntN(runners)]; n.up && !n.stopped {
+						n.try(key, first+window-at)
+					}
+				})
+			}
+		}
+		w.run(w.now + 5*second + window + 2*second)
+		if v := w.verdict(); v != "" {
+			t.Errorf("%d runners: %s", runners, v)
+		}
+		t.Logf("%d runners: %.0f messages a second by one that does not vote, at most %d links; %d served, then with faults %d, %d refused, %d failed", runners, each, near, calm,
+			w.served-calm, w.refused, w.failed)
+	}
+	p := plot.New()
+	p.Title.Text = "What one runner that does not vote says, and to how many"
+	p.X.Label.Text, p.Y.Label.Text = "runners", "messages a second; links"
+	p.Y.Min = 0
+	if err := plotutil.AddLinePoints(p, "messages a second", said, "links", links); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Save(16*vg.Centimeter, 9*vg.Centimeter, file); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/peers/copies/saved.go
+++ b/internal/peers/copies/saved.go
@@ -14,16 +14,24 @@
 // Save gives what is held, for a disk.
 func (h *Holder) Save(now int64) []Saved {
 	var all []Saved
-	for i, s := range h.slots {
-		if s == nil {
-			continue
+	for i := range h.slots {
+		if s := h.SaveSlot(i, now); s != nil {
+			all = append(all, *s)
 		}
-		entries, _ := s.after(0, now, 1<<62)
-		all = append(all, Saved{Slot: i, Last: s.last, Seq: s.seq, Eras: slices.Clone(s.eras), Entries: entries})
 	}
 	return all
 }
 
+// SaveSlot gives what is held of one slot; nil: nothing.
+func (h *Holder) SaveSlot(i int, now int64) *Saved {
+	if i >= len(h.slots) || h.slots[i] == nil || h.slots[i].seq == 0 {
+		return nil
+	}
+	s := h.slots[i]
+	entries, _ := s.after(0, now, 1<<62)
+	return &Saved{Slot: i, Last: s.last, Seq: s.seq, Eras: slices.Clone(s.eras), Entries: entries}
+}
+
 // slot is what was saved. It is at no epoch: its holder counts for nothing until a primary has brought it up.
 func (v *Saved) slot(now int64) *slot {
 	s := newSlot()
--- a/internal/peers/copies/slot.go
+++ b/internal/peers/copies/slot.go
@@ -49,6 +49,7 @@
 	seq   uint64 // its number
 	eras  []Era
 	items map[store.Name]*item
+	bytes int      // of the records, about
 	heard struct { // the newest word of a primary: one that is said twice or comes late is not taken again
 		from string
 		life uint64
@@ -73,7 +74,7 @@
 
 // clear forgets what is held.
 func (s *slot) clear() {
-	s.items, s.last, s.seq, s.eras = map[store.Name]*item{}, 0, 0, nil
+	s.items, s.bytes, s.last, s.seq, s.eras = map[store.Name]*item{}, 0, 0, 0, nil
 }
 
 // put takes the next record of a primary.
@@ -94,7 +95,10 @@
 	if it == nil {
 		it = &item{}
 		s.items[e.Record.Name] = it
+	} else {
+		s.bytes -= sizeOf(&it.record)
 	}
+	s.bytes += sizeOf(e.Record)
 	it.record, it.until, it.seq, it.epoch = *e.Record, until, e.Seq, e.Epoch
 	return it
 }
@@ -195,6 +199,7 @@
 func (s *slot) expire(now int64, lives func(*store.Record) bool) {
 	for name, it := range s.items {
 		if now > it.until && len(it.watchers) == 0 && (it.record.Kind != store.Begun || !lives(&it.record)) {
+			s.bytes -= sizeOf(&it.record)
 			delete(s.items, name)
 		}
 	}
--- a/internal/peers/copies/world_test.go
+++ b/internal/peers/copies/world_test.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"shalesail/internal/peers/council"
+	"shalesail/internal/peers/grid"
 	"shalesail/internal/peers/plan"
 	"shalesail/internal/store"
 )
@@ -58,6 +59,8 @@
 	cut     map[[2]string]bool // from, to
 	keys    map[string]*fact
 	rate    int64
+	named   map[string]*node
+	grid    *grid.Grid // nil: all have links with all
 	broken  []string
 	sent    int
 	served  int
@@ -92,6 +95,8 @@
 	disk    disk
 	older   disk
 	entries map[string]*entry
+	sent    int
+	links   map[string]bool // over which it said anything
 }
 
 // disk is what outlives a process.
@@ -109,18 +114,24 @@
 }
 
 func newWorld(seed uint64, runners, copies, slots int) *world {
-	w := &world{r: rand.New(rand.NewPCG(seed, 99)), cut: map[[2]string]bool{}, keys: map[string]*fact{}}
+	w := &world{r: rand.New(rand.NewPCG(seed, 99)), cut: map[[2]string]bool{}, keys: map[string]*fact{}, named: map[string]*node{}}
+	var names []string
 	w.slots, w.copies = slots, copies
 	if seed%2 == 0 { // copies are made anew bit by bit
 		w.rate = 4000
 	}
 	for i := range runners {
-		n := &node{w: w, name: fmt.Sprintf("n%d", i+1), hall: fmt.Sprint("hall", i%3)}
+		n := &node{w: w, name: fmt.Sprintf("n%d", i+1), hall: fmt.Sprint("hall", i%3), links: map[string]bool{}}
 		w.nodes = append(w.nodes, n)
+		w.named[n.name] = n
+		names = append(names, n.name)
 		if i < 3 || i < 5 && runners >= 5 {
 			w.voters = append(w.voters, n.name)
 		}
 	}
+	if runners >= 5 && seed%3 == 0 {
+		w.grid = grid.New(names, 1)
+	}
 	for _, n := range w.nodes {
 		n.start(disk{})
 	}
@@ -222,9 +233,30 @@
 	}
 }
 
-// over takes something over a link, as the link is.
+// over takes something to another runner: over their link, or over a relay if they stand in a grid and have none.
 func (w *world) over(from, to string, fn func(*node)) {
+	if w.grid == nil || w.grid.Near(from, to) {
+		w.hop(from, to, fn)
+		return
+	}
+	relays := w.grid.Relays(from, to)
+	for i := range relays {
+		relay := relays[(int(w.now/(300*ms))+i)%len(relays)]
+		if n := w.node(relay); n.up {
+			w.hop(from, relay, func(*node) { w.hop(relay, to, fn) })
+			return
+		}
+	}
+	w.hop(from, to, fn) // a link beside the grid
+}
+
+// hop takes something over a link, as the link is.
+func (w *world) hop(from, to string, fn func(*node)) {
 	w.sent++
+	if n := w.node(from); n != nil {
+		n.sent++
+		n.links[to] = true
+	}
 	if w.cut[[2]string{from, to}] || w.r.IntN(300) == 0 {
 		return
 	}
@@ -258,14 +290,7 @@
 func (w *world) deliver(m Message) { w.node(m.To).do(func() { w.node(m.To).h.Receive(&m, w.now) }) }
 
 // node is the one of that name.
-func (w *world) node(name string) *node {
-	for _, n := range w.nodes {
-		if n.name == name {
-			return n
-		}
-	}
-	return nil
-}
+func (w *world) node(name string) *node { return w.named[name] }
 
 func (n *node) stop(d int64) {
 	if !n.up || n.stopped {
--- a/internal/peers/party/party.go
+++ b/internal/peers/party/party.go
@@ -16,6 +16,7 @@
 	"shalesail/internal/peers/council"
 	"shalesail/internal/peers/link"
 	"shalesail/internal/peers/plan"
+	"shalesail/internal/peers/vault"
 	"shalesail/internal/store"
 )
 
@@ -41,10 +42,12 @@
 	Slots    int
 	Copies   int
 	Window   int64 // the longest of all classes
+	Most     int   // bytes of records that it holds; 0: any number
 	Rate     int64 // bytes a second that go to who is being brought up
 	Patience int64 // that a run or an answer waits for copies
 	Process  uint32
 	Life     uint64
+	Dir      string   // on a disk that lasts; empty: there is none
 	Accounts Accounts // nil: no account of usage is kept
 }
 
@@ -71,17 +74,28 @@
 	holder  *copies.Holder
 	council *council.Council
 	version uint64
+	table   *plan.Table // the newest that is on the disk, if there is one
 	told    int64
-	busy    bool // what comes of it is being sent
+	busy    bool         // what comes of it is being sent
+	lasting *disk        // nil: nothing is on a disk
+	vault   *vault.Vault // the goroutine's
 }
 
 // Start listens for peers. Heard keys go to the core that Run names.
 func Start(l *loop.Loop, cfg Config) (*Party, error) {
 	p := &Party{cfg: cfg, loop: l}
-	p.holder = copies.New(copies.Config{Name: cfg.Links.Name, Life: cfg.Life, Window: cfg.Window, Lease: council.Lease, Rate: cfg.Rate}, nil, l.Now())
+	var log []council.Kept
+	var saved []copies.Saved
+	if cfg.Dir != "" {
+		var err error
+		if log, saved, err = p.openDisk(cfg.Dir); err != nil {
+			return nil, err
+		}
+	}
+	p.holder = copies.New(copies.Config{Name: cfg.Links.Name, Life: cfg.Life, Window: cfg.Window, Lease: council.Lease, Most: cfg.Most, Rate: cfg.Rate}, saved, l.Now())
 	var err error
 	p.council, err = council.New(council.Config{Name: cfg.Links.Name, Voters: cfg.Voters, Known: cfg.Known, Slots: cfg.Slots, Copies: cfg.Copies}, plan.Member{
-		Name: cfg.Links.Name, Hall: cfg.Hall, Life: cfg.Life, Process: cfg.Process}, nil, l.Now())
+		Name: cfg.Links.Name, Hall: cfg.Hall, Life: cfg.Life, Process: cfg.Process}, log, l.Now())
 	if err != nil {
 		return nil, err
 	}
@@ -98,6 +112,9 @@
 	p.loop.Every(tick, func() {
 		p.council.Tick(p.loop.Now())
 		p.holder.Tick(p.loop.Now())
+		if p.lasting != nil {
+			p.lasting.save()
+		}
 		p.flush()
 	})
 }
@@ -127,15 +144,17 @@
 	for more := true; more; {
 		more = false
 		p.council.Tell(p.holder.Changes(), p.loop.Now())
-		out, _, err := p.council.Out()
+		out, kept, err := p.council.Out()
 		if err != nil {
 			evBad.Log(err)
 		}
-		for i := range out {
-			p.net.Send(out[i].To, &link.Frame{Council: &out[i]})
-		}
 		p.holder.Heard(p.council.HeardAt())
-		if t := p.council.Table(); t.Version > p.version {
+		if h := (held{out, kept, p.council.Table()}); p.lasting == nil {
+			p.release(h)
+		} else if len(out) > 0 || kept != nil || h.table != p.lasting.newest {
+			p.lasting.hold(h)
+		}
+		if t := p.table; t != nil && t.Version > p.version {
 			p.version, more = t.Version, true
 			if p.council.Lost() { // it was held for lost, and goes on
 				p.cfg.Life++
@@ -143,6 +162,13 @@
 				p.holder.Renew(p.cfg.Life)
 				p.council.Renew(p.cfg.Life)
 			}
+			lost := map[string]bool{}
+			for _, m := range t.Members {
+				if m.Life == 0 {
+					lost[m.Name] = true
+				}
+			}
+			p.net.SetLost(lost)
 			p.holder.Table(t, p.loop.Now())
 			if p.cfg.Accounts != nil {
 				p.cfg.Accounts.Table(t, p.cfg.Life)
@@ -156,6 +182,14 @@
 	}
 }
 
+// release sends what the council says, and has its table hold.
+func (p *Party) release(h held) {
+	for i := range h.out {
+		p.net.Send(h.out[i].To, &link.Frame{Council: &h.out[i]})
+	}
+	p.table = h.table
+}
+
 // Tell sends words about accounts.
 func (p *Party) Tell(out []accounts.Message) {
 	for i := range out {
@@ -247,6 +281,10 @@
 	Members  []string `json:"members"` // that are in
 	Lost     []string `json:"lost,omitempty"`
 	Leaving  []Leaver `json:"leaving,omitempty"`
+	Links    int      `json:"links"`                     // connections to peers
+	Passed   int64    `json:"messages_passed,omitempty"` // between others
+	Bytes    int      `json:"bytes_held"`                // of records, about
+	Copied   int64    `json:"bytes_copied"`              // to runners that were brought up
 	Messages int64    `json:"messages_sent"`
 	Dropped  int64    `json:"messages_dropped"`
 }
@@ -260,7 +298,8 @@
 // Status tells how copies stand.
 func (p *Party) Status() *Status {
 	t := p.council.Table()
-	s := &Status{Version: t.Version, Leads: p.council.Leads(), In: p.holder.In(), Whole: t.Whole(), Slots: len(t.Slots), Messages: p.net.Sent, Dropped: p.net.Lost}
+	s := &Status{Version: t.Version, Leads: p.council.Leads(), In: p.holder.In(), Whole: t.Whole(), Slots: len(t.Slots), Messages: p.net.Sent, Dropped: p.net.Lost,
+		Links: p.net.Links(), Passed: p.net.Passed, Copied: p.holder.Copied, Bytes: p.holder.Bytes}
 	_, s.Closed = p.holder.Closed(p.loop.Now())
 	for _, m := range t.Members {
 		if m.Leaving {
--- a/internal/standin/cluster/bill.go
+++ b/internal/standin/cluster/bill.go
@@ -14,6 +14,9 @@
 // account is the folder of a runner's account of usage.
 func (n *Node) account() string { return filepath.Join(n.disk(), "usage") }
 
+// vault is the folder of a runner's part among its peers.
+func (n *Node) vault() string { return filepath.Join(n.disk(), "peers") }
+
 // Billed drains all runners, puts together what their folders have of uses, and holds it against what callers saw.
 func (c *Cluster) Billed() (judge.Verdict, *usage.Bill, error) {
 	var list []*usage.Statement
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -3,6 +3,7 @@
 package cluster
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net"
@@ -32,6 +33,7 @@
 	Window   time.Duration // in which a key may be repeated
 	Patience time.Duration // for a start, a drain or an answer
 	Copies   int           // that peers keep beside the first; 0: runners do not talk
+	Mesh     int           // up to so many have links with all; 0: as it is without being said
 	Late     int           // runners, the last ones, that are not started and in nobody's file before Belong
 	Operator func(n *Node) (string, error)
 }
@@ -161,7 +163,7 @@
 	if len(c.Nodes)-c.opt.Late >= 5 {
 		voters = 5
 	}
-	lines = append(lines, fmt.Sprintf("peers:\n  installation: harness\n  listen: 127.0.0.1:0\n  copies: %d\n  slots: 16\n  members:\n", c.opt.Copies))
+	lines = append(lines, fmt.Sprintf("peers:\n  installation: harness\n  listen: 127.0.0.1:0\n  dir: %s\n  copies: %d\n  slots: 16\n  mesh: %d\n  members:\n", n.vault(), c.opt.Copies, cmp.Or(c.opt.Mesh, 32)))
 	for i, o := range c.Nodes {
 		if !c.belongs(o) {
 			continue
@@ -172,7 +174,7 @@
 		}
 		lines = append(lines, fmt.Sprintf("    - {name: %s, address: %q, hall: %s, votes: %v}\n", o.Name, at, o.Hall, i < voters))
 	}
-	return strings.Join(append(lines, fmt.Sprintf("usage: {dir: %s, period_min: 1, grace_s: 1, queue: 4096}\n", n.account())), ""), os.MkdirAll(n.account(), 0o700)
+	return strings.Join(append(lines, fmt.Sprintf("usage: {dir: %s, period_min: 1, grace_s: 1, queue: 4096}\n", n.account())), ""), errors.Join(os.MkdirAll(n.account(), 0o700), os.MkdirAll(n.vault(), 0o700))
 }
 
 // Ready waits until every runner is there and all copies are made.
--- a/internal/standin/cluster/copies_test.go
+++ b/internal/standin/cluster/copies_test.go
@@ -249,3 +249,91 @@
 	}
 	c.billed(t)
 }
+
+// Of nine runners in a grid none has links with all; faults by seed, relays among those that they meet, break no promise.
+func TestGridBySeed(t *testing.T) {
+	first, count := seeds(1)
+	for seed := first; seed < first+uint64(count); seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			c := start(t, Options{Runners: 9, Halls: 3, Servers: 2, Window: shortWindow, Copies: 2, Mesh: 4})
+			for _, err := range []error{c.Ready(30 * time.Second), c.Taking(30 * time.Second)} {
+				if err != nil {
+					t.Fatal(err)
+				}
+			}
+			l := &Load{Callers: 6, Roam: true, Again: 2, Within: shortWindow / 2}
+			soak(t, c, l, seed, Draw(seed, 14, 4*time.Second, len(c.Nodes), len(c.Servers), true, true))
+			passed := int64(0)
+			for _, n := range c.Nodes {
+				var s app.Status
+				if err := n.Tell(control.Request{Ask: "status"}, &s); err != nil || s.Peers.Links > 6 {
+					t.Errorf("%v; %s has %d links", err, n.Name, s.Peers.Links)
+				}
+				passed += s.Peers.Passed
+			}
+			if passed == 0 {
+				t.Error("nobody passes anything on")
+			}
+		})
+	}
+}
+
+// A runner that comes back with its disk is sent what it lacks alone, and one with an empty disk all.
+func TestBroughtUp(t *testing.T) {
+	t.Parallel()
+	c := peers(t, 3, 2) // each holds all
+	last := c.Nodes[2]
+	copied := func() (sum int64) {
+		for _, n := range c.Nodes[:2] {
+			var s app.Status
+			if err := n.Tell(control.Request{Ask: "status"}, &s); err != nil {
+				t.Fatal(err)
+			}
+			sum += s.Peers.Copied
+		}
+		return sum
+	}
+	var sent [2]int64
+	for i, fault := range []string{"0s drain n3 --back 0s", "0s kill n3 --wipe --back 0s"} {
+		for k := range 60 {
+			c.until(t, c.Nodes[k%3], fmt.Sprint("before-", i, "-", k), judge.Served)
+		}
+		was := copied()
+		if err := c.Play(script(t, fault), nil); err != nil {
+			t.Fatal(err)
+		}
+		wait(t, "n3 is back", func() bool { var s app.Status; return last.Tell(control.Request{Ask: "status"}, &s) == nil && s.Peers.In })
+		if err := c.Ready(20 * time.Second); err != nil {
+			t.Fatal(err)
+		}
+		sent[i] = copied() - was
+	}
+	if sent[0]*3 > sent[1] {
+		t.Errorf("with its disk it was sent %d bytes, without %d", sent[0], sent[1])
+	}
+	t.Logf("with its disk it was sent %d bytes, without %d", sent[0], sent[1])
+}
+
+// Voters that all start anew go on from their disks: the runner that lived on hears them again, and new keys are taken.
+func TestVotersRestart(t *testing.T) {
+	t.Parallel()
+	c := peers(t, 4, 1)
+	for _, n := range c.Nodes[:3] {
+		if err := n.Kill(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, n := range c.Nodes[:3] {
+		if err := n.Start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := c.Ready(20 * time.Second); err != nil {
+		t.Fatal(err)
+	}
+	c.until(t, c.Nodes[3], "after", judge.Served)
+	if v := c.Judge(); len(v) > 0 {
+		t.Error(v)
+	}
+}
