--- a/internal/standin/cluster/copies_test.go
+++ b/internal/standin/cluster/copies_test.go
@@ -303,7 +303,10 @@
 		if err := c.Play(script(t, fault), nil); err != nil {
 			t.Fatal(err)
 		}
-		wait(t, "n3 is back", func() bool { var s app.Status; return last.Tell(control.Request{Ask: "status"}, &s) == nil && s.Peers.In })
+		wait(t, "n3 is back", func() bool {
+			var s app.Status
+			return last.Tell(control.Request{Ask: "status"}, &s) == nil && s.Peers.In
+		})
 		if err := c.Ready(20 * time.Second); err != nil {
 			t.Fatal(err)
 		}
