--- a/internal/standin/cluster/cluster_test.go
+++ b/internal/standin/cluster/cluster_test.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"flag"
 	"fmt"
 	"os"
 	"os/exec"
@@ -27,6 +28,10 @@
 		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
 		os.Exit(1)
 	}
+	flag.Parse()
+	if err := flag.Set("test.parallel", "12"); err != nil { // they wait for most of their time
+		panic(err)
+	}
 	code := m.Run()
 	os.RemoveAll(dir)
 	os.Exit(code)
@@ -92,6 +97,7 @@
 // Keys that keep to their runner run once and keep their results over faults by seed, as no disk is lost. RYEPADDLE_SEEDS says how many
 // seeds are played, RYEPADDLE_SEED plays one of them again.
 func TestFaultsBySeed(t *testing.T) {
+	t.Parallel()
 	first, count := seeds(2)
 	for seed := first; seed < first+uint64(count); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
--- a/internal/standin/cluster/copies_test.go
+++ b/internal/standin/cluster/copies_test.go
@@ -33,6 +33,7 @@
 // Repeats go to whichever runner, over cuts of links among peers, stops, drains and lost machines by seed: no key runs twice, and nothing
 // that was served is lost.
 func TestPeersBySeed(t *testing.T) {
+	t.Parallel()
 	first, count := seeds(1)
 	for seed := first; seed < first+uint64(count); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
@@ -47,6 +48,7 @@
 // Repeats go to whichever runner, machines are lost with their disks one after the other, and nothing that was promised is lost: no key
 // runs twice, and what was served is served again by all. RYEPADDLE_LOST says how often each machine is lost, for a long run by hand.
 func TestLostMachines(t *testing.T) {
+	t.Parallel()
 	rounds := 1
 	if n, err := strconv.Atoi(os.Getenv("RYEPADDLE_LOST")); err == nil {
 		rounds = n
@@ -252,6 +254,7 @@
 
 // Of nine runners in a grid none has links with all; faults by seed, relays among those that they meet, break no promise.
 func TestGridBySeed(t *testing.T) {
+	t.Parallel()
 	first, count := seeds(1)
 	for seed := first; seed < first+uint64(count); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
