--- a/internal/standin/cluster/copies_test.go
+++ b/internal/standin/cluster/copies_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -343,3 +344,61 @@
 		t.Error(v)
 	}
 }
+
+// Two tries of a key at two runners at the same instant, and one at a third while the first runs, are one run; and when a whole hall is lost with its
+// disks, two machines at once, the others give what was served, and bill it.
+func TestAtOnceAndAHallLost(t *testing.T) {
+	t.Parallel()
+	c := start(t, Options{Runners: 5, Halls: 3, Servers: 3, Work: 150 * time.Millisecond, Window: 15 * time.Second, Copies: 2})
+	for _, err := range []error{c.Ready(20 * time.Second), c.Taking(60 * time.Second)} {
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	var all sync.WaitGroup
+	results := make([]map[string]bool, 15)
+	var mu sync.Mutex
+	for k := range results {
+		results[k] = map[string]bool{}
+		for at, later := range []time.Duration{0, 0, 50 * time.Millisecond} {
+			all.Go(func() {
+				time.Sleep(later)
+				told := c.HandIn(c.Nodes[(k+at)%5], fmt.Sprint("at-once-", k))
+				mu.Lock()
+				defer mu.Unlock()
+				results[k][told.Result] = told.End == judge.Served
+			})
+		}
+	}
+	all.Wait()
+	for k, r := range results {
+		if len(r) != 1 || r[""] {
+			t.Errorf("of key %d callers are told %v", k, r)
+		}
+	}
+	if err := c.Ready(20 * time.Second); err != nil {
+		t.Fatal(err)
+	}
+	for _, line := range []string{"0s kill n1 --wipe", "0s kill n4 --wipe"} { // both of hall1
+		if err := c.Play(script(t, line), nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for k, r := range results {
+		if told := c.until(t, c.Nodes[1+k%2], fmt.Sprint("at-once-", k), judge.Served); !r[told.Result] {
+			t.Errorf("after the loss key %d is %q, and was %v", k, told.Result, r)
+		}
+	}
+	for _, n := range []*Node{c.Nodes[0], c.Nodes[3]} {
+		if err := n.Start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := c.Ready(20 * time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if v := c.Judge(); len(v) > 0 {
+		t.Error(v)
+	}
+	c.billed(t)
+}
