Heirs of an account are runners that say they keep accounts

Cause: accounts.Heirs took any member that is in; nothing in the table told who knows accounts.

Change: members say so (plan.Member.Bills), also anew in the same life, as a leader of the version before drops what it does not know.

Measured: TestSaidAgain; the tests of plan, council, accounts and copies.

--- a/internal/peers/accounts/accounts.go
+++ b/internal/peers/accounts/accounts.go
@@ -87,7 +87,7 @@
 	dropTimes = 5
 )
 
-// Heirs are who is to know the account of a runner: as many as the table has copies, of other halls first, by a draw of the two names. The same table
+// Heirs are who is to know the account of a runner, of those that keep accounts: as many as the table has copies, of other halls first, by a draw of the two names. The same table
 // gives the same everywhere.
 func Heirs(t *plan.Table, name string) []plan.Member {
 	hall := ""
@@ -96,7 +96,7 @@
 	}
 	var all []plan.Member
 	for _, m := range t.Members {
-		if m.Life != 0 && m.Name != name && (!m.Leaving || t.Apart()) {
+		if m.Life != 0 && m.Name != name && m.Bills && (!m.Leaving || t.Apart()) {
 			all = append(all, m)
 		}
 	}
--- a/internal/peers/accounts/world_test.go
+++ b/internal/peers/accounts/world_test.go
@@ -103,7 +103,7 @@
 	r.w = NewWriter(r.name, r.led.Life(), r.process, w.settings(r), func() []byte { return r.led.Keep(0) })
 	r.shelf = NewShelf(r.name, r.process, slices.Sorted(maps.Keys(r.files)))
 	r.heir = NewHeir(r.name)
-	w.change(plan.Change{Kind: plan.In, Member: plan.Member{Name: r.name, Hall: string('a' + rune(len(r.name)+int(r.name[1])%2)), Life: r.life, Process: r.process}})
+	w.change(plan.Change{Kind: plan.In, Member: plan.Member{Name: r.name, Hall: string('a' + rune(len(r.name)+int(r.name[1])%2)), Life: r.life, Process: r.process, Bills: true}})
 	r.old = r.led.Keep(0)
 }
 
@@ -340,7 +340,7 @@
 				w.step()
 			}
 			r.life += 1000
-			w.change(plan.Change{Kind: plan.In, Member: plan.Member{Name: r.name, Life: r.life, Process: r.process}})
+			w.change(plan.Change{Kind: plan.In, Member: plan.Member{Name: r.name, Life: r.life, Process: r.process, Bills: true}})
 			continue
 		}
 		w.settle()
--- a/internal/peers/council/council.go
+++ b/internal/peers/council/council.go
@@ -497,7 +497,7 @@
 		c.admit(&m)
 	}
 	c.last[m.From] = c.now
-	if in := c.table.Member(m.From); in == nil || in.Life != m.Member.Life {
+	if in := c.table.Member(m.From); in == nil || in.Life != m.Member.Life || in.Knows != m.Member.Knows || in.Bills != m.Member.Bills {
 		// One that is out comes back in another life: by then it knows that it was lost.
 		if m.Member.Name == m.From && m.Member.Life != 0 && (in == nil || in.Life != 0 || m.Version >= c.table.Version) {
 			c.propose([]plan.Change{{Kind: plan.In, Member: m.Member}})
--- a/internal/peers/party/party.go
+++ b/internal/peers/party/party.go
@@ -95,7 +95,7 @@
 	p.holder = copies.New(copies.Config{Name: cfg.Links.Name, Life: cfg.Life, Window: cfg.Window, Lease: council.Lease, Most: cfg.Most, Rate: cfg.Rate}, saved, l.Now())
 	var err error
 	p.council, err = council.New(council.Config{Name: cfg.Links.Name, Voters: cfg.Voters, Known: cfg.Known, Slots: cfg.Slots, Copies: cfg.Copies}, plan.Member{
-		Name: cfg.Links.Name, Hall: cfg.Hall, Life: cfg.Life, Process: cfg.Process}, log, l.Now())
+		Name: cfg.Links.Name, Hall: cfg.Hall, Life: cfg.Life, Process: cfg.Process, Bills: cfg.Accounts != nil}, log, l.Now())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/peers/plan/plan.go
+++ b/internal/peers/plan/plan.go
@@ -18,6 +18,7 @@
 	Gone    uint64 `cbor:"5,keyasint,omitempty"` // the life before this one, which does not come back
 	Leaving bool   `cbor:"6,keyasint,omitempty"` // its slots go to others
 	Knows   Kind   `cbor:"7,keyasint,omitempty"` // the newest kind of change that it knows
+	Bills   bool   `cbor:"8,keyasint,omitempty"` // it has a folder for accounts of usage, and knows those of others
 }
 
 // Slot is a part of the keys, and who holds it.
@@ -129,6 +130,9 @@
 			t.Members = slices.Insert(t.Members, i, Member{Name: c.Member.Name})
 			m = &t.Members[i]
 		}
+		if m.Life == c.Member.Life && m.Life != 0 { // said again, as whoever agreed to it before may have known less of members
+			m.Knows, m.Bills = c.Member.Knows, c.Member.Bills
+		}
 		if m.Life == c.Member.Life || c.Member.Life == 0 || c.Member.Life == m.Gone {
 			return
 		}
--- a/internal/peers/plan/plan_test.go
+++ b/internal/peers/plan/plan_test.go
@@ -103,6 +103,20 @@
 	}
 }
 
+// What a member says of itself anew, in the same life, changes nothing else.
+func TestSaidAgain(t *testing.T) {
+	p := after(t, 3, 3, 16, 2)
+	m := *p.Member("n001")
+	m.Knows, m.Bills = Newest, true
+	want := p.Clone()
+	*want.Member("n001") = m
+	want.Version++
+	p.Apply(Change{Kind: In, Member: m})
+	if diff := cmp.Diff(want, p); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // A member that is back in a new life holds nothing until it is whole.
 func TestNewLife(t *testing.T) {
 	p := after(t, 3, 3, 16, 2)
