Links beside the grid end once a relay is there

Need: of nine runners in a grid one had seven links, seen beside a load on all cores in TestGridBySeed.

Cause: link.way took a connection that stood before it asked for a relay, so that a link dialled while no relay was up was used on and never idle. Checked: the start dials them, as relays come up later. Ruled out: relays that are held for lost (none was at the end).

--- a/internal/peers/link/link.go
+++ b/internal/peers/link/link.go
@@ -221,7 +221,7 @@
 
 // way is the link that leads to a peer: its own, that of a relay, or one beside those of the grid while no relay is to be had; nil: there is none.
 func (n *Net) way(to *out) *out {
-	if n.near(to.peer.Name) || to.conn != nil {
+	if n.near(to.peer.Name) {
 		return to
 	}
 	relays := n.grid.Relays(n.cfg.Name, to.peer.Name)
@@ -231,6 +231,9 @@
 			return r
 		}
 	}
+	if to.conn != nil {
+		return to
+	}
 	extra := 0
 	for name, p := range n.peers {
 		if p.conn != nil && !n.near(name) {
