A try that is refused is sent again in the test of tries at the same instant

Need: one try of 45 was refused on a clean clone with the whole suite beside it, as its slot was just changing hands; a refusal says nothing, and the test took it for an answer.

Cause: seen in the log of that run: core.run_not_kept, nothing new is taken. Change: such a try is sent again, as callers do.

--- a/internal/standin/cluster/copies_test.go
+++ b/internal/standin/cluster/copies_test.go
@@ -370,6 +370,10 @@
 			all.Go(func() {
 				time.Sleep(later)
 				told := c.HandIn(c.Nodes[(k+at)%5], fmt.Sprint("at-once-", k))
+				for try := 0; told.End == judge.Refused && try < 200; try++ { // its slot is just changing hands
+					time.Sleep(20 * time.Millisecond)
+					told = c.HandIn(c.Nodes[(k+at)%5], fmt.Sprint("at-once-", k))
+				}
 				mu.Lock()
 				defer mu.Unlock()
 				results[k][told.Result] = told.End == judge.Served
