--- a/internal/metering/copied.go
+++ b/internal/metering/copied.go
@@ -21,6 +21,9 @@
 	evDiffers = logs.Define("usage.copy_failed", slog.LevelWarn, "error")
 )
 
+// mostWaits bounds uses whose heirs have not been heard of.
+const mostWaits = 1 << 13
+
 // correctWithin is how long a correction waits for others to know it, in microseconds.
 const correctWithin = 2_000_000
 
@@ -159,6 +162,11 @@
 		done(errNoRoom)
 		return
 	}
+	if len(m.waits) >= mostWaits { // its heirs say nothing for long; whoever waited has given up
+		first := m.waits[0]
+		m.waits = m.waits[1:]
+		first.done(ErrUnkept)
+	}
 	m.waits = append(m.waits, promise{m.ring.Last(), done})
 	m.post.wake()
 }
@@ -208,6 +216,9 @@
 
 func (c *copied) use(u *usage.Use, number uint64) {
 	if c != nil {
+		if len(c.marks) >= mostWaits { // a later use that is known tells of this one too
+			c.marks = c.marks[1:]
+		}
 		c.marks = append(c.marks, mark{number, c.w.Add(accounts.Step{Use: u})})
 	}
 }
