--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -14,7 +14,6 @@
 	"strings"
 
 	"shalesail"
-	"shalesail/internal/core"
 	"shalesail/internal/wire"
 )
 
@@ -128,9 +127,6 @@
 	if p.Settings, p.Meters, err = parseSettings(f.Settings); err != nil {
 		return nil, fieldError(text, "settings", err.Error())
 	}
-	if err := core.Check(&p.Settings); err != nil {
-		return nil, fieldError(text, "settings", err.Error())
-	}
 	return p, nil
 }
 
--- a/internal/core/claims.go
+++ b/internal/core/claims.go
@@ -92,7 +92,7 @@
 // Heard takes what another process has written of a key. Forgotten: its run never began.
 func (c *Core) Heard(k Kept, forgotten bool) {
 	class, ok := c.Class(k.Class)
-	tenant := -1
+	tenant := NoTenant
 	if k.Tenant != "" && ok {
 		tenant, ok = c.Tenant(k.Tenant)
 	}
--- a/internal/core/gate.go
+++ b/internal/core/gate.go
@@ -15,7 +15,6 @@
 	doRefuse
 	doFail
 	doCall
-	doOmit
 	doKeep
 	doForget
 	doReuse
@@ -28,7 +27,7 @@
 
 var verbs = map[shalesail.ActionKind]verb{
 	shalesail.ActionStart: doStart, shalesail.ActionRefuse: doRefuse, shalesail.ActionFail: doFail,
-	shalesail.ActionCall: doCall, shalesail.ActionOmit: doOmit, shalesail.ActionKeep: doKeep,
+	shalesail.ActionCall: doCall, shalesail.ActionKeep: doKeep,
 	shalesail.ActionForget: doForget, shalesail.ActionReuse: doReuse, shalesail.ActionHealth: doHealth,
 	shalesail.ActionAdvertise: doAdvertise, shalesail.ActionTrim: doTrim, shalesail.ActionTimer: doTick,
 	shalesail.ActionLog: doLog,
--- a/internal/core/keeper.go
+++ b/internal/core/keeper.go
@@ -63,7 +63,7 @@
 func (c *Core) Restore(keys []Kept) (strange int) {
 	for _, k := range keys {
 		class, ok := c.Class(k.Class)
-		tenant := -1
+		tenant := NoTenant
 		if k.Tenant != "" && ok {
 			tenant, ok = c.Tenant(k.Tenant)
 		}
