--- a/classes.go
+++ b/classes.go
@@ -3,7 +3,7 @@
 import "fmt"
 
 // MostClasses is how many places there are for classes, those that were dropped included.
-const MostClasses = 64
+const MostClasses = 256
 
 // After lays settings that are to come into force over those that are. Each class keeps its place, since all that is open, learned
 // and remembered goes by places: one that is not there any more stays, Dropped; one that comes back by its name and effect has its
--- a/controller.go
+++ b/controller.go
@@ -141,30 +141,14 @@
 
 // New returns a controller for a server that starts now. It reports a setting that it cannot do without.
 func New(s Settings, _ uint64) (*Controller, error) {
-	for _, f := range []struct {
-		name string
-		bad  bool
-	}{
-		{"Cores", s.Cores < 1},
-		{"MemoryKB", !(s.MemoryKB > 0)},
-		{"RunFactor", !(s.RunFactor >= 1)},
-		{"CrowdLimit", !(s.CrowdLimit >= 1)},
-		{"ColdShare", !(s.ColdShare >= 0 && s.ColdShare <= 1)},
-		{"CallsOut", s.Dependency == DependencyShared && !(s.CallsOut > 0)},
-		{"Classes", len(s.Classes) == 0},
-	} {
-		if f.bad {
-			return nil, fmt.Errorf("shalesail: setting %s is missing or out of range", f.name)
-		}
+	if err := s.Check(); err != nil {
+		return nil, err
 	}
 	aim, over := 0.0, s.CallsOver.Seconds()
-	for i, c := range s.Classes {
+	for _, c := range s.Classes {
 		if !c.Dropped {
 			aim = max(aim, c.Target.Seconds())
 		}
-		if c.Target <= 0 || c.Deadline <= 0 || c.Effect > Unsafe || c.Effect == Keyed && c.Window <= 0 {
-			return nil, fmt.Errorf("shalesail: setting Classes[%d]: bad Target, Deadline, Effect, Window", i)
-		}
 	}
 	c := &Controller{set: s, requests: map[uint64]*request{}, fresh: map[uint64]*request{},
 		holds: make([]hold, len(s.Classes)), buckets: make([]float64, len(s.Tenants)), said: -1}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -44,7 +44,7 @@
 		{`"read_like"`, `"often"`, `line 10: field settings: shalesail: setting RequestClasses.0.Idempotency: malformed value "often"`},
 		{`"limits": {`, `"limits": [`, `line 9: invalid character`},
 	} {
-		_, err := parsePlatform([]byte(strings.Replace(string(good), c.old, c.new, 1)))
+		_, err := ParsePlatform([]byte(strings.Replace(string(good), c.old, c.new, 1)))
 		if err == nil || !strings.Contains(err.Error(), c.want) {
 			t.Errorf("%s: %v, want %s", c.new, err, c.want)
 		}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"os"
 	"path/filepath"
 	"slices"
@@ -216,7 +215,7 @@
 func ReadOperator(path string, p *Platform) (*Operator, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return nil, fmt.Errorf("config: %w", err)
+		return nil, unreadable.New("config: %w", err).In(path, 0, "")
 	}
 	return parseOperator(path, text, p)
 }
@@ -250,9 +249,9 @@
 		switch {
 		case o != nil && o.GroupsByUse[c.Name] != "":
 		case !p.Engine.IsValid():
-			return fmt.Errorf("config: field engine: missing, and class %s runs on no other servers", c.Name)
+			return field.New("config: field engine: missing, and class %s runs on no other servers", c.Name)
 		case c.Calls && p.Settings.Dependency != shalesail.DependencyNone && !p.Backend.IsValid():
-			return fmt.Errorf("config: field backend: missing, and class %s calls it", c.Name)
+			return field.New("config: field backend: missing, and class %s calls it", c.Name)
 		}
 	}
 	return nil
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -5,18 +5,31 @@
 import (
 	"bytes"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net/netip"
 	"os"
-	"sort"
 	"strconv"
 	"strings"
 
 	"shalesail"
+	"shalesail/internal/fault"
 	"shalesail/internal/wire"
 )
 
+// What can be wrong with what the program is told.
+var (
+	unreadable = fault.Define("config.unreadable", "A file that the program is told of is not there, or may not be read.",
+		"See that the path is right and that the program's user may read the file.")
+	syntax = fault.Define("config.syntax", "The platform's file is not JSON, or a field has a value of another kind.",
+		"Write the file anew, whole: it may be cut off at the line that is named.")
+	field = fault.Define("config.field", "A field is missing, or has a value that it cannot have.",
+		"Correct the field that is named; ryepaddle check reads the files without starting anything.")
+	settings = fault.Define("config.settings", "The settings lack what the module cannot do without, or contradict themselves.",
+		"Correct the setting that is named where the platform's configuration is made; the value is told beside it.")
+	changed = fault.Define("config.changed", "A file at HUP lacks a key that the one in force has, or changes what holds for the life of the program.",
+		"Give the key its value again, or start the program anew if the change is meant.")
+)
+
 // Platform is what the platform tells a runner.
 type Platform struct {
 	Name     string
@@ -59,26 +72,30 @@
 // ReadPlatform reads and checks the platform's file.
 func ReadPlatform(path string) (*Platform, error) {
 	if path == "" {
-		return nil, errors.New("config: ROUTER_CONFIG names no file")
+		return nil, unreadable.New("config: ROUTER_CONFIG names no file")
 	}
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return nil, fmt.Errorf("config: %w", err)
+		return nil, unreadable.New("config: %w", err).In(path, 0, "")
 	}
-	p, err := parsePlatform(text)
+	p, err := ParsePlatform(text)
 	if err != nil {
+		if e := fault.Of(err); e != nil {
+			e.Where.File = path
+		}
 		return nil, fmt.Errorf("config: %s: %w", path, err)
 	}
 	p.file = path
 	if door := os.Getenv(doorVar); door != "" && !p.Ops.IsValid() {
 		if p.Ops, err = netip.ParseAddrPort(door); err != nil {
-			return nil, fmt.Errorf("config: %s: %w", doorVar, err)
+			return nil, field.New("config: %s: %w", doorVar, err).In("", 0, doorVar)
 		}
 	}
 	return p, nil
 }
 
-func parsePlatform(text []byte) (*Platform, error) {
+// ParsePlatform checks what the platform's file says.
+func ParsePlatform(text []byte) (*Platform, error) {
 	var f platformFile
 	if err := json.Unmarshal(text, &f); err != nil {
 		return nil, jsonError(text, err)
@@ -125,7 +142,8 @@
 		return nil, jsonError(text, err)
 	}
 	if p.Settings, p.Meters, err = parseSettings(f.Settings); err != nil {
-		return nil, fieldError(text, "settings", err.Error())
+		line := lineOf(text, bytes.Index(text, []byte(`"settings"`)))
+		return nil, settings.New("line %d: field settings: %w", line, err).In("", line, "settings")
 	}
 	return p, nil
 }
@@ -143,12 +161,7 @@
 	}
 	pairs := map[string]string{}
 	flatten(pairs, "", v)
-	lines := make([]string, 0, len(pairs))
-	for k, v := range pairs {
-		lines = append(lines, k+"="+v)
-	}
-	sort.Strings(lines)
-	return wire.ParseSettings(strings.Join(lines, "\n"))
+	return wire.Settings(pairs)
 }
 
 func flatten(out map[string]string, path string, v any) {
@@ -193,16 +206,20 @@
 		at = e.Offset
 	}
 	if at < 0 {
-		return err
+		return syntax.Wrap(err)
 	}
-	return fmt.Errorf("line %d: %w", lineOf(text, int(at)), err)
+	line := lineOf(text, int(at))
+	return syntax.New("line %d: %w", line, err).In("", line, "")
 }
 
-func fieldError(text []byte, field, what string) error {
-	if i := bytes.Index(text, []byte(`"`+field+`"`)); i >= 0 {
-		return fmt.Errorf("line %d: field %s: %s", lineOf(text, i), field, what)
+func fieldError(text []byte, name, what string) error {
+	if i := bytes.Index(text, []byte(`"`+name+`"`)); i >= 0 {
+		line := lineOf(text, i)
+		return field.New("line %d: field %s: %s", line, name, what).In("", line, name)
 	}
-	return fmt.Errorf("field %s: %s", field, what)
+	return field.New("field %s: %s", name, what).In("", 0, name)
 }
 
-func lineOf(text []byte, at int) int { return 1 + bytes.Count(text[:min(at, len(text))], []byte("\n")) }
+func lineOf(text []byte, at int) int {
+	return 1 + bytes.Count(text[:max(min(at, len(text)), 0)], []byte("\n"))
+}
--- a/internal/config/shape.go
+++ b/internal/config/shape.go
@@ -14,7 +14,7 @@
 		return nil
 	}
 	if err := has(p.shape, was.shape, ""); err != nil {
-		return fmt.Errorf("config: %s: %w", p.file, err)
+		return changed.New("config: %s: %w", p.file, err).In(p.file, 0, "")
 	}
 	return nil
 }
--- a/internal/config/shape_test.go
+++ b/internal/config/shape_test.go
@@ -14,7 +14,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	was, err := parsePlatform(text)
+	was, err := ParsePlatform(text)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -32,19 +32,19 @@
 		{"no setting of a class", `"TargetUs": 1000000, "DeadlineUs": 3000000, "WindowUs": 5000000},
       {"Name": "hand-in"`, `"TargetUs": 1000000, "DeadlineUs": 3000000},
       {"Name": "hand-in"`, "field settings.RequestClasses.1.WindowUs: missing"},
-		{"no deadline", `"DeadlineUs": 2500000, `, ``, "field settings.RequestClasses.2.DeadlineUs: missing"},
+		{"no deadline", `"DeadlineUs": 2500000, `, ``, "setting RequestClasses.2.DeadlineUs: missing, and it has to be above 0"},
 		{"a deadline in words", `"DeadlineUs": 2500000`, `"DeadlineUs": "2500000"`, "field settings.RequestClasses.2.DeadlineUs: a text, where there was a number"},
-		{"a deadline that is nothing", `"DeadlineUs": 2500000`, `"DeadlineUs": null`, "DeadlineUs: nothing, where there was a number"},
+		{"a deadline that is nothing", `"DeadlineUs": 2500000`, `"DeadlineUs": null`, "setting RequestClasses.2.DeadlineUs: missing"},
 		{"a deadline below 0", `"DeadlineUs": 2500000`, `"DeadlineUs": -5`, `malformed value "-5"`},
-		{"a deadline of 0", `"DeadlineUs": 2500000`, `"DeadlineUs": 0`, "bad Target, Deadline"},
-		{"no classes", `"RequestClasses": [`, `"RequestClasses": [], "Were": [`, "setting Classes is missing"},
+		{"a deadline of 0", `"DeadlineUs": 2500000`, `"DeadlineUs": 0`, "setting RequestClasses.2.DeadlineUs: 0s, and it has to be above 0"},
+		{"no classes", `"RequestClasses": [`, `"RequestClasses": [], "Were": [`, "setting RequestClasses: missing, and it has to be at least one"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			now := strings.Replace(string(text), c.old, c.new, 1)
 			if c.old != "" && now == string(text) {
 				t.Fatalf("%q is not in the file", c.old)
 			}
-			p, err := parsePlatform([]byte(now))
+			p, err := ParsePlatform([]byte(now))
 			if err == nil {
 				err = p.Has(was)
 			}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -81,7 +81,7 @@
 type Answer struct {
 	Kind     Kind
 	Result   *Result // of Served
-	ComeBack int64   // of Refused: how long to stay away
+	ComeBack int64   // of Refused: how long to stay away; 0: the settings allow no such advice
 	Last     bool    // of Refused: the wish that nobody else is tried
 	Reason   Reason  // of Misused, and of Failed in doubt
 }
@@ -817,7 +817,9 @@
 	}
 	c.counts[r.Class].ended(a.Kind)
 	if a.Kind == Refused {
-		a.ComeBack = max(a.ComeBack, comeBack)
+		if a.ComeBack = max(a.ComeBack, comeBack); c.set.NoStayAway {
+			a.ComeBack = 0
+		}
 	}
 	c.close(r)
 	c.tellOf(r, a.Kind, a.ComeBack)
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -457,7 +457,10 @@
 		}
 		x.respond(a.Result.Status, a.Result.Body, fields...)
 	case core.Refused:
-		fields := []string{"X-Come-Back-Ms", strconv.FormatInt((a.ComeBack+999)/1000, 10)}
+		var fields []string
+		if a.ComeBack > 0 {
+			fields = append(fields, "X-Come-Back-Ms", strconv.FormatInt((a.ComeBack+999)/1000, 10))
+		}
 		if a.Last {
 			fields = append(fields, "X-No-Failover", "1")
 		}
--- a/internal/front/uwsgi/front.go
+++ b/internal/front/uwsgi/front.go
@@ -571,10 +571,11 @@
 			r.Fields = append(r.Fields, httpmsg.Field(f))
 		}
 	case core.Refused:
-		ms := (a.ComeBack + 999) / 1000
 		r.Status = 503
-		r.Fields = []httpmsg.Field{{Name: "Retry-After", Value: strconv.FormatInt(max((ms+999)/1000, 1), 10)},
-			{Name: "X-Come-Back-Ms", Value: strconv.FormatInt(ms, 10)}}
+		if ms := (a.ComeBack + 999) / 1000; ms > 0 {
+			r.Fields = []httpmsg.Field{{Name: "Retry-After", Value: strconv.FormatInt(max((ms+999)/1000, 1), 10)},
+				{Name: "X-Come-Back-Ms", Value: strconv.FormatInt(ms, 10)}}
+		}
 	case core.Late:
 		r.Status = 504
 	case core.Ran:
--- a/internal/lab/fleet/core.go
+++ b/internal/lab/fleet/core.go
@@ -78,7 +78,8 @@
 func (p *inside) Submit(j *Job) {
 	h := &hosted{j: j}
 	p.runs[j.Name] = h
-	q := &core.Request{Name: j.Name, Class: j.Class(), Tenant: j.Tenant(), Caller: j.Caller(), Arrived: j.Arrived(), SizeKB: j.SizeKB(),
+	tenant, _ := p.core.Tenant(j.TenantName())
+	q := &core.Request{Name: j.Name, Class: j.Class(), Tenant: tenant, Caller: j.Caller(), Arrived: j.Arrived(), SizeKB: j.SizeKB(),
 		Rank: j.Rank(), Key: j.Key(), Body: j.Body(), Asker: h}
 	h.ticket = p.core.Submit(q)
 }
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -459,9 +459,6 @@
 // ClassName is the name of its class.
 func (j *Job) ClassName() string { return j.s.day.Spec.Classes[j.a.Class].Name }
 
-// Tenant is the number of its tenant.
-func (j *Job) Tenant() int { return j.a.Tenant }
-
 // TenantName is the name of its tenant.
 func (j *Job) TenantName() string { return j.s.day.Spec.Tenants[j.a.Tenant].Name }
 
--- a/internal/lab/fleet/runner.go
+++ b/internal/lab/fleet/runner.go
@@ -73,6 +73,7 @@
 		l.machine.Slow(r.slowed)
 	}
 	set := s.day.Settings
+	set.Classes = slices.Clone(set.Classes)
 	set.Cold = cold
 	if s.opt.Settings != nil {
 		s.opt.Settings(&set)
--- /dev/null
+++ b/internal/standin/deployment/deployment_test.go
@@ -0,0 +1,76 @@
+package deployment
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"shalesail/internal/config"
+	"shalesail/internal/lab/day"
+	"shalesail/internal/lab/fleet"
+	"shalesail/internal/standin/rig"
+)
+
+// Whatever the settings say, a runner starts with them, each request gets its one answer in time, and no rule is broken. By hand:
+// go test ./internal/standin/deployment -run Everywhere -rapid.checks=20000
+func TestEverywhere(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		d := Draw(t, Wide)
+		drawn := day.Draw(d.Spec, d.Seed)
+		told := drawn.Settings
+		d.Tell(&told)
+		text, err := json.Marshal(map[string]any{"name": "n1", "listen": "127.0.0.1:1", "stop_ms": 1, "limits": map[string]int{"sockets": 512, "memory_mb": 48},
+			"settings": rig.Settings(&told)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		read, err := config.ParsePlatform(text)
+		if err != nil {
+			t.Fatalf("%v\n%s", err, text)
+		}
+		if diff := cmp.Diff(told, read.Settings); diff != "" {
+			t.Fatalf("the file says something else (-told +read)\n%s", diff)
+		}
+		run, err := fleet.Play(drawn, fleet.Options{Settings: d.Tell})
+		if err != nil {
+			t.Fatalf("%v\n%s", err, text)
+		}
+		if run.Broken > 0 {
+			t.Fatalf("%v: %v\n%s", run.Rules, run.Notes, text)
+		}
+	})
+}
+
+// A few of them on real processes behind sockets, with the platform's front.
+func TestOnProcesses(t *testing.T) {
+	t.Parallel()
+	bin := filepath.Join(t.TempDir(), "ryepaddle")
+	if out, err := exec.Command("go", "build", "-race", "-o", bin, "../../../cmd/ryepaddle").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	drawn := rapid.Custom(func(t *rapid.T) *Deployment { return Draw(t, Real) })
+	for seed := range *processes {
+		t.Run(strconv.Itoa(seed), func(t *testing.T) {
+			t.Parallel()
+			d := drawn.Example(seed)
+			var log bytes.Buffer
+			run, err := rig.Play(t.Context(), day.Draw(d.Spec, d.Seed), fleet.Options{Settings: d.Tell}, bin, &log)
+			if err != nil {
+				t.Fatalf("%v\n%s", err, log.String())
+			}
+			if run.Broken > 0 || run.Read == 0 && run.All.First > 0 {
+				t.Errorf("%d read, %v: %v\n%s", run.Read, run.Rules, run.Notes, log.String())
+			}
+		})
+	}
+}
+
+var processes = flag.Int("deployments", 6, "how many are played on processes")
--- a/internal/standin/rig/rig.go
+++ b/internal/standin/rig/rig.go
@@ -197,6 +197,8 @@
 		shalesail.CreditAllowance: "allowance", shalesail.CreditWeight: "weight"}
 	below := map[shalesail.Dependency]string{shalesail.DependencyNone: "silent", shalesail.DependencyShared: "one_for_all",
 		shalesail.DependencyTier: "tier"}
+	halts := map[shalesail.HaltMode]string{shalesail.HaltNone: "silent", shalesail.HaltDiscard: "discard", shalesail.HaltFreeze: "freeze"}
+	by := map[bool]string{false: "request", true: "work"}
 	us := func(d time.Duration) int64 { return d.Microseconds() }
 	var classes, tenants, calls, omits []any
 	for _, c := range s.Classes {
@@ -208,12 +210,12 @@
 		tenants = append(tenants, map[string]any{"Name": t.Name, "QuotaRps": t.QuotaRate})
 	}
 	return map[string]any{"Accounts": tenants, "RequestClasses": classes, "Servers": s.Servers, "OverShareWorth": s.OverWorth,
-		"ValueBy": "request", "Callers": map[string]any{"MarksRetry": s.MarksRetry},
-		"Caps": map[string]any{"MaxRetryAfterUs": us(s.MaxStayAway), "RetryAfter": true},
+		"ValueBy": by[s.WorthPerWork], "Prices": map[string]any{"Handshake": s.HandshakePrice}, "Callers": map[string]any{"MarksRetry": s.MarksRetry},
+		"Caps": map[string]any{"MaxRetryAfterUs": us(s.MaxStayAway), "RetryAfter": !s.NoStayAway},
 		"Rules": map[string]any{"AnswerSlackUs": us(s.Slack), "StopSendingWithinUs": us(s.DrainGrace), "FallMultiple": s.CrowdLimit,
 			"FallUs": us(s.CrowdOver), "ColdShare": s.ColdShare, "ColdUs": us(s.ColdFor)},
 		"Specifics": map[string]any{"Upstreams": s.Callers, "JustStarted": s.Cold, "Cores": s.Cores, "MemoryKb": s.MemoryKB,
-			"RunMemFactor": s.RunFactor, "KeyKb": s.KeyKB, "FreshUs": us(s.FreshFor), "Halt": "silent", "Say": says[s.CreditMode],
+			"RunMemFactor": s.RunFactor, "KeyKb": s.KeyKB, "FreshUs": us(s.FreshFor), "Halt": halts[s.Halt], "Say": says[s.CreditMode],
 			"HeededUs": us(s.CreditLife), "Below": below[s.Dependency], "CallsOut": s.CallsOut, "CallsOverUs": us(s.CallsOver),
 			"LingerUs": us(s.Linger), "DeepChecks": s.DeepChecks, "TellsGone": s.TellsGone, "RegistryFollows": s.ListFollows,
 			"IdleUs": us(s.IdleFor), "CallsByClass": calls, "ClassSkipWorth": omits, "PassesDeadline": false,
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"strconv"
@@ -68,6 +69,16 @@
 	return false
 }
 
+// items is how many objects a list has. Each of them has a path, so that a count beyond those is no list's.
+func (p *pairs) items(k string) int {
+	n := p.count(k)
+	if n > len(p.m) {
+		p.bad(k, p.m[k])
+		return 0
+	}
+	return n
+}
+
 // list returns the comma-joined values under k.
 func (p *pairs) list(k string) []string {
 	if p.m[k] == "" {
@@ -113,12 +124,18 @@
 
 // ParseSettings reads start-up text of path=value lines. Unknown paths are skipped.
 func ParseSettings(text string) (shalesail.Settings, []Gauge, error) {
-	p := &pairs{m: map[string]string{}}
+	m := map[string]string{}
 	for _, line := range strings.Split(text, "\n") {
 		if k, v, ok := strings.Cut(line, "="); ok {
-			p.m[k] = v
+			m[k] = v
 		}
 	}
+	return Settings(m)
+}
+
+// Settings reads start-up settings by their paths. Unknown paths are skipped.
+func Settings(m map[string]string) (shalesail.Settings, []Gauge, error) {
+	p := &pairs{m: m}
 	s := shalesail.Settings{
 		Servers: p.count("Servers"), Callers: p.count("Specifics.Upstreams"), Cold: p.flag("Specifics.JustStarted"),
 		Cores: p.count("Specifics.Cores"), MemoryKB: p.num("Specifics.MemoryKb"),
@@ -130,14 +147,14 @@
 		DeepChecks: p.flag("Specifics.DeepChecks"), TellsGone: p.flag("Specifics.TellsGone"),
 		MarksRetry: p.flag("Callers.MarksRetry"), ListFollows: p.flag("Specifics.RegistryFollows"),
 		IdleFor: p.dur("Specifics.IdleUs"), HandshakePrice: p.num("Prices.Handshake"),
-		MaxStayAway:  p.dur("Caps.MaxRetryAfterUs"),
+		MaxStayAway: p.dur("Caps.MaxRetryAfterUs"), NoStayAway: p.m["Caps.RetryAfter"] != "" && !p.flag("Caps.RetryAfter"),
 		WorthPerWork: word(p, "ValueBy", byWork), OverWorth: p.num("OverShareWorth"),
 		Slack: p.dur("Rules.AnswerSlackUs"), DrainGrace: p.dur("Rules.StopSendingWithinUs"),
 		CrowdLimit: p.num("Rules.FallMultiple"), CrowdOver: p.dur("Rules.FallUs"),
 		ColdShare: p.num("Rules.ColdShare"), ColdFor: p.dur("Rules.ColdUs"),
 	}
 	calls, omits := p.list("Specifics.CallsByClass"), p.list("Specifics.ClassSkipWorth")
-	for i := range p.count("RequestClasses.count") {
+	for i := range p.items("RequestClasses.count") {
 		at := fmt.Sprintf("RequestClasses.%d.", i)
 		c := shalesail.Class{
 			Name: p.m[at+"Name"], Target: p.dur(at + "TargetUs"), AimStretch: p.num(at + "AimStretch"),
@@ -156,7 +173,7 @@
 		}
 		s.Classes = append(s.Classes, c)
 	}
-	for i := range p.count("Accounts.count") {
+	for i := range p.items("Accounts.count") {
 		at := fmt.Sprintf("Accounts.%d.", i)
 		s.Tenants = append(s.Tenants, shalesail.Tenant{Name: p.m[at+"Name"], QuotaRate: p.num(at + "QuotaRps")})
 	}
@@ -164,5 +181,27 @@
 	for _, name := range p.list("Specifics.Meters") {
 		gauges = append(gauges, gaugeNames[name])
 	}
+	if p.err == nil {
+		p.err = p.inPaths(s.Check())
+	}
 	return s, gauges, p.err
 }
+
+// paths are the settings' paths on the wire by the names that the module has for them, where they differ.
+var paths = strings.NewReplacer("Classes[", "RequestClasses.", "Tenants[", "Accounts.", "].", ".", "Cores", "Specifics.Cores", "MemoryKB", "Specifics.MemoryKb",
+	"RunFactor", "Specifics.RunMemFactor", "KeyKB", "Specifics.KeyKb", "CrowdLimit", "Rules.FallMultiple", "ColdShare", "Rules.ColdShare",
+	"CallsOut", "Specifics.CallsOut", "Classes", "RequestClasses", "Target", "TargetUs", "Deadline", "DeadlineUs", "Window", "WindowUs",
+	"Effect", "Idempotency", "OmitWorth", "ClassSkipWorth", "QuotaRate", "QuotaRps")
+
+// inPaths names the setting of an error by its path on the wire. What is not there at all is told from what is nought.
+func (p *pairs) inPaths(err error) error {
+	e := (*shalesail.SettingError)(nil)
+	if !errors.As(err, &e) {
+		return err
+	}
+	named := &shalesail.SettingError{Setting: paths.Replace(e.Setting), Value: e.Value, Want: e.Want}
+	if p.m[named.Setting] == "" && p.m[named.Setting+".count"] == "" {
+		named.Value = "missing"
+	}
+	return named
+}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -116,7 +116,8 @@
 }
 
 func TestSettings(t *testing.T) {
-	text := "RequestClasses.count=1\nRequestClasses.0.Idempotency=idempotency_key\nRequestClasses.0.TargetUs=2000\n" +
+	text := "RequestClasses.count=1\nRequestClasses.0.Name=one\nRequestClasses.0.DeadlineUs=3000\nRequestClasses.0.WindowUs=1\n" +
+		"Specifics.Cores=1\nSpecifics.MemoryKb=1\nSpecifics.RunMemFactor=1\nRules.FallMultiple=1\nRequestClasses.0.Idempotency=idempotency_key\nRequestClasses.0.TargetUs=2000\n" +
 		"Specifics.Halt=freeze\nSpecifics.Say=floor\nSpecifics.Below=tier\nSpecifics.CallsByClass=true\n" +
 		"Specifics.ClassSkipWorth=0.3\nSpecifics.Meters=cpu_busy,other,runnable\nUnknown.Key=x\nValueBy=work"
 	s, gauges, err := ParseSettings(text)
@@ -128,8 +129,9 @@
 		t.Fatalf("%+v", c)
 	}
 	for _, bad := range []string{"Specifics.Cores=many", "Specifics.Halt=maybe", "RequestClasses.count=-1",
-		"Specifics.MemoryKb=NaN", "Specifics.DeepChecks=perhaps", "Rules.FallUs=-4"} {
-		if _, _, err := ParseSettings(bad); err == nil || !strings.Contains(err.Error(), strings.SplitN(bad, "=", 2)[0]) {
+		"Specifics.MemoryKb=NaN", "Specifics.DeepChecks=perhaps", "Rules.FallUs=-4",
+		"RequestClasses.0.WindowUs=0", "Specifics.Cores=0", "Rules.ColdShare=2", "Specifics.MemoryKb="} {
+		if _, _, err := ParseSettings(text + "\n" + bad); err == nil || !strings.Contains(err.Error(), strings.SplitN(bad, "=", 2)[0]) {
 			t.Errorf("%s: %v", bad, err)
 		}
 	}
--- a/types.go
+++ b/types.go
@@ -93,6 +93,7 @@
 	ListFollows bool // the callers' server list follows health answers
 	IdleFor     time.Duration
 	MaxStayAway time.Duration // longest advice to stay away that callers observe
+	NoStayAway  bool          // such advice is not passed on
 	// HandshakePrice is what a new connection takes off the result, in parts of the worth asked for.
 	HandshakePrice float64
 	WorthPerWork   bool    // worth is counted per unit of work, not per request
