--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -69,7 +69,9 @@
 func (e *Error) LogValue() slog.Value { return slog.StringValue(e.Kind.Name + ": " + e.Error()) }
 
 // New makes an error of the kind. The text may wrap a cause.
-func (k *Kind) New(format string, args ...any) *Error { return &Error{Kind: k, Err: fmt.Errorf(format, args...)} }
+func (k *Kind) New(format string, args ...any) *Error {
+	return &Error{Kind: k, Err: fmt.Errorf(format, args...)}
+}
 
 // Wrap gives a cause the kind. One that has a kind keeps it, as whoever was nearer knows more; none stays none.
 func (k *Kind) Wrap(err error) error {
--- a/internal/lab/world/share.go
+++ b/internal/lab/world/share.go
@@ -141,10 +141,10 @@
 // drop takes a job off before it is done.
 func (s *share) drop(j *job) {
 	j.done = nil
-	if j.index < 0 {
+	if s.advance(); j.index < 0 { // it is done by now, too
+		s.arm()
 		return
 	}
-	s.advance()
 	heap.Remove(&s.jobs, j.index)
 	s.arm()
 }
--- a/internal/lab/world/world_test.go
+++ b/internal/lab/world/world_test.go
@@ -225,6 +225,17 @@
 			return b.Call(work, func(r Reply) { *got = append(*got, end{(clock.Now() - vtime.Origin) / 1000, r}) })
 		}
 	}
+	t.Run("given up as it ends", func(t *testing.T) { // the call that ends it finds it done
+		b, clock, got, call := set(BackEndSpec{Slots: 2})
+		c := call(10_000)
+		b.slots.timer.Stop() // its own timer comes a microsecond after it is done
+		clock.RunUntil(vtime.Origin + 10_001)
+		b.GiveUp(c)
+		clock.RunUntil(vtime.Origin + second)
+		if len(*got) != 0 || b.Held() != 0 {
+			t.Errorf("%v, %d held", *got, b.Held())
+		}
+	})
 	t.Run("slows when crowded", func(t *testing.T) {
 		_, clock, got, call := set(be)
 		for range 4 {
