Errors have kinds with stable names, and each says what an operator can do

Need: an error was a text; scripts and those on call had to guess. Now internal/fault: a kind (name, what it tells, what to do), place and cause; found through any wrapping. The on-call page's table is made from the code and a test holds them together. The way not taken: a struct literal at each place, which would say the same advice in many words.

--- /dev/null
+++ b/cmd/ryepaddle/kinds_test.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// What is wrong with a file is told with its kind, its place and what to do, for people and for scripts.
+func TestCheckSaysWhatToDo(t *testing.T) {
+	cfg := example(t)
+	cfg["settings"].(map[string]any)["Specifics"].(map[string]any)["Cores"] = 0
+	text, err := json.MarshalIndent(cfg, "", " ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var out, errs bytes.Buffer
+	if code := start(&shell{&out, &errs}, []string{"check", "--json", "--config", path}); code != 2 {
+		t.Errorf("exit status %d", code)
+	}
+	var told wrong
+	if err := json.Unmarshal(out.Bytes(), &told); err != nil || told.Kind != "config.settings" || told.File != path || told.Line < 2 || told.Field != "settings" || told.Do == "" {
+		t.Errorf("%v: %+v", err, told)
+	}
+	if !strings.Contains(errs.String(), "setting Specifics.Cores: 0") || !strings.Contains(errs.String(), "config.settings: Correct the setting") {
+		t.Errorf("%s", errs.String())
+	}
+}
--- a/cmd/ryepaddle/main.go
+++ b/cmd/ryepaddle/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -20,6 +21,7 @@
 	"shalesail/internal/buildinfo"
 	"shalesail/internal/config"
 	"shalesail/internal/control"
+	"shalesail/internal/fault"
 )
 
 // shell is what the commands write to.
@@ -94,6 +96,9 @@
 		return 0
 	}
 	fmt.Fprintln(sh.err, "ryepaddle:", err)
+	if f := fault.Of(err); f != nil {
+		fmt.Fprintf(sh.err, "%s: %s\n", f.Kind.Name, f.Kind.Do)
+	}
 	var parse *kong.ParseError
 	var bad badInput
 	if errors.As(err, &parse) || errors.As(err, &bad) {
@@ -128,6 +133,16 @@
 	return app.Run(app.Options{Platform: c.Config, Operator: c.Operator, Repair: c.Repair})
 }
 
+// wrong is what is wrong with a file, for scripts.
+type wrong struct {
+	Error string `json:"error"`
+	Kind  string `json:"kind,omitempty"`
+	File  string `json:"file,omitempty"`
+	Line  int    `json:"line,omitempty"`
+	Field string `json:"field,omitempty"`
+	Do    string `json:"do,omitempty"`
+}
+
 type checkCmd struct {
 	told
 	JSON bool `help:"Print what was read as JSON."`
@@ -136,6 +151,13 @@
 // Run reads the files.
 func (c *checkCmd) Run(sh *shell) error {
 	cfg, op, err := app.Check(app.Options{Platform: c.Config, Operator: c.Operator})
+	if err != nil && c.JSON {
+		told := wrong{Error: err.Error()}
+		if f := fault.Of(err); f != nil {
+			told = wrong{err.Error(), f.Kind.Name, f.Where.File, f.Where.Line, f.Where.Field, f.Kind.Do}
+		}
+		return badInput{cmp.Or(printJSON(sh, told), err)}
+	}
 	if err != nil {
 		return badInput{err}
 	}
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -3,7 +3,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"os"
 	"os/signal"
@@ -259,10 +258,10 @@
 	}
 	if cfg.Ops.IsValid() {
 		if r.door, err = ops.Listen(l, cfg.Ops, r); err != nil {
-			return nil, fmt.Errorf("ops: %w", err)
+			return nil, address.New("ops: %w", err)
 		}
 	}
-	return r, r.listen()
+	return r, address.Wrap(r.listen())
 }
 
 // route says where each class runs: on the engine, but what the operator's file leads to uwsgi servers. Groups that are
@@ -391,12 +390,12 @@
 	// What runs, the keys and what the module has learned go by class and tenant, and links once begun stay.
 	switch {
 	case cfg.Name != r.cfg.Name:
-		return fmt.Errorf("config: field name: %q, this is %s", cfg.Name, r.cfg.Name)
+		return changed.New("config: field name: %q, this is %s", cfg.Name, r.cfg.Name)
 	case cfg.Engine.IsValid() != r.cfg.Engine.IsValid() || cfg.Backend.IsValid() != r.cfg.Backend.IsValid() ||
 		cfg.Roster.IsValid() != r.cfg.Roster.IsValid():
-		return errors.New("config: engine, backend and roster can be moved, not added or taken away, while the program runs")
+		return changed.New("config: engine, backend and roster can be moved, not added or taken away, while the program runs")
 	case !slices.Equal(cfg.Meters, r.cfg.Meters):
-		return errors.New("config: field settings: the gauges cannot change while the program runs")
+		return changed.New("config: field settings: the gauges cannot change while the program runs")
 	}
 	if err := cfg.Has(r.cfg); err != nil {
 		return err
@@ -406,7 +405,7 @@
 		_, err = r.core.Configure(r.part(set))
 	}
 	if err != nil {
-		return fmt.Errorf("config: field settings: %w", err)
+		return changed.New("config: field settings: %w", err)
 	}
 	cfg.Settings = set
 	r.nameClasses(set)
--- a/internal/app/control.go
+++ b/internal/app/control.go
@@ -1,7 +1,6 @@
 package app
 
 import (
-	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -153,7 +152,7 @@
 		return nil
 	}
 	if r.control, err = control.Listen(r.loop, r.op.Control.Socket, r.asked); err != nil {
-		return fmt.Errorf("control: %w", err)
+		return address.New("control: %w", err)
 	}
 	return nil
 }
@@ -275,7 +274,7 @@
 			Version string `json:"version"`
 		}{buildinfo.Version()}, nil
 	}
-	return nil, fmt.Errorf("unknown question %q: want status, explain, metrics, levels, usage, correct, peers-key, peers-leave, peers-stay, peers-replace, drain, reload or version", q.Ask)
+	return nil, asked.New("unknown question %q: want status, explain, metrics, levels, usage, correct, peers-key, peers-leave, peers-stay, peers-replace, drain, reload or version", q.Ask)
 }
 
 // Levels is the answer to levels.
@@ -337,12 +336,12 @@
 func (r *Program) explained(q control.Request) (any, error) {
 	e := explain.Query{Name: q.ID, Key: q.Key, Class: -1, NotServed: q.NotServed, From: q.From * 1000, To: q.To * 1000, Most: q.Most}
 	if q.Most < 0 || q.Most > 1000 {
-		return nil, fmt.Errorf("most: %d is not from 1 to 1000", q.Most)
+		return nil, asked.New("most: %d is not from 1 to 1000", q.Most)
 	}
 	if q.Class != "" {
 		var ok bool
 		if e.Class, ok = r.core.Class(q.Class); !ok {
-			return nil, fmt.Errorf("unknown class %q", q.Class)
+			return nil, asked.New("unknown class %q", q.Class)
 		}
 	}
 	if q.Kind != "" {
@@ -353,7 +352,7 @@
 			}
 		}
 		if !found {
-			return nil, fmt.Errorf("unknown end %q", q.Kind)
+			return nil, asked.New("unknown end %q", q.Kind)
 		}
 	}
 	if q.Cause != "" {
@@ -363,7 +362,7 @@
 			}
 		}
 		if e.Cause == 0 {
-			return nil, fmt.Errorf("unknown cause %q", q.Cause)
+			return nil, asked.New("unknown cause %q", q.Cause)
 		}
 	}
 	out := Entries{Entries: []Explained{}}
--- /dev/null
+++ b/internal/app/kinds_test.go
@@ -0,0 +1,44 @@
+package app
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"shalesail/internal/fault"
+)
+
+// The on-call page's table of errors is made from the code: UPDATE=1 go test ./internal/app -run Kinds
+func TestKindsPage(t *testing.T) {
+	const page, from, to = "../../docs/on-call.md", "| kind | what it tells | what to do |\n| --- | --- | --- |\n", "\n## "
+	text, err := os.ReadFile(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	before, rest, ok := strings.Cut(string(text), from)
+	table, after, more := strings.Cut(rest, to)
+	if !ok || !more {
+		t.Fatal("the page has no table of errors")
+	}
+	var want strings.Builder
+	for _, k := range fault.Kinds() {
+		for _, s := range []string{k.About, k.Do} {
+			if strings.Contains(s, "|") || !strings.HasSuffix(s, ".") || len(s) > 200 {
+				t.Errorf("%s: %q is no short sentence", k.Name, s)
+			}
+		}
+		fmt.Fprintf(&want, "| `%s` | %s | %s |\n", k.Name, k.About, k.Do)
+	}
+	if os.Getenv("UPDATE") != "" {
+		if err := os.WriteFile(page, []byte(before+from+want.String()+to+after), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	if diff := cmp.Diff(want.String(), table); diff != "" {
+		t.Errorf("(-code +page)\n%s", diff)
+	}
+}
--- a/internal/app/peers.go
+++ b/internal/app/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"errors"
 
 	"shalesail/internal/config"
 	"shalesail/internal/control"
@@ -82,7 +81,7 @@
 }
 
 // errNoPeers is that of a runner without peers.
-var errNoPeers = errors.New("this runner has no peers: its operator's file has no section for them")
+var errNoPeers error = noPeers.New("this runner has no peers: its operator's file has no section for them")
 
 // peersAsked answers a question about peers, or has members leave or stay.
 func (r *Program) peersAsked(q control.Request) (any, error) {
--- a/internal/app/usage.go
+++ b/internal/app/usage.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"time"
 
 	"shalesail/internal/control"
@@ -64,7 +63,7 @@
 	Known bool `json:"known"` // it had been taken before
 }
 
-var errNoAccount = errors.New("no account of usage is kept: see usage of the operator's file")
+var errNoAccount error = noAccount.New("no account of usage is kept: see usage of the operator's file")
 
 // usageNow tells where the account stands, beside the loop.
 func (r *Program) usageNow(reply func(any, error)) {
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -45,10 +45,10 @@
 )
 
 // ErrUnknown tells that another process could not write what it claimed: its keys are not known.
-var ErrUnknown = errors.New("claims: another process could not write its claims")
+var ErrUnknown error = unwritten.New("claims: another process could not write its claims")
 
 // ErrBusy tells that the lock was not to be had in time.
-var ErrBusy = errors.New("claims: another process holds the lock")
+var ErrBusy error = held.New("claims: another process holds the lock")
 
 // Loop is what is needed of the event loop.
 type Loop interface {
@@ -120,7 +120,7 @@
 		peers: map[uint32]*peer{}, least: newLogFrom, told: -1}
 	if err := g.open(); err != nil {
 		g.Close()
-		return nil, fmt.Errorf("claims: %w", err)
+		return nil, folder.New("claims: %w", err)
 	}
 	g.tell()
 	g.poll()
--- a/internal/control/ask.go
+++ b/internal/control/ask.go
@@ -3,9 +3,8 @@
 import (
 	"bufio"
 	"encoding/json"
-	"errors"
-	"fmt"
 	"net"
+	"shalesail/internal/fault"
 	"time"
 )
 
@@ -13,32 +12,38 @@
 func Ask(path string, q Request, within time.Duration, v any) error {
 	c, err := net.DialTimeout("unix", path, within)
 	if err != nil {
-		return fmt.Errorf("control: %w", err)
+		return unreachable.New("control: %w", err)
 	}
 	defer c.Close()
 	if err := c.SetDeadline(time.Now().Add(within)); err != nil {
-		return fmt.Errorf("control: %w", err)
+		return unreachable.New("control: %w", err)
 	}
 	text, err := json.Marshal(q)
 	if err != nil {
-		return fmt.Errorf("control: %w", err)
+		return unreachable.New("control: %w", err)
 	}
 	if _, err := c.Write(append(text, '\n')); err != nil {
-		return fmt.Errorf("control: %w", err)
+		return unreachable.New("control: %w", err)
 	}
 	line, err := bufio.NewReaderSize(c, 64<<10).ReadBytes('\n')
 	if err != nil {
-		return fmt.Errorf("control: no answer: %w", err)
+		return unreachable.New("control: no answer: %w", err)
 	}
 	var r struct {
 		OK    json.RawMessage `json:"ok"`
 		Error string          `json:"error"`
+		Kind  string          `json:"kind"`
+		Do    string          `json:"do"`
 	}
 	if err := json.Unmarshal(line, &r); err != nil {
-		return fmt.Errorf("control: %w", err)
+		return unreachable.New("control: %w", err)
 	}
 	if r.Error != "" {
-		return errors.New(r.Error)
+		kind := answered
+		if r.Kind != "" {
+			kind = &fault.Kind{Name: r.Kind, Do: r.Do}
+		}
+		return kind.New("%s", r.Error)
 	}
 	if v == nil || len(r.OK) == 0 {
 		return nil
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -11,10 +11,9 @@
 import (
 	"bytes"
 	"encoding/json"
-	"errors"
-	"fmt"
 	"os"
 
+	"shalesail/internal/fault"
 	"shalesail/internal/loop"
 	"shalesail/internal/netaddr"
 )
@@ -40,6 +39,17 @@
 type reply struct {
 	OK    any    `json:"ok,omitempty"`
 	Error string `json:"error,omitempty"`
+	Kind  string `json:"kind,omitempty"` // of the error: docs/on-call.md lists them
+	Do    string `json:"do,omitempty"`   // what an operator can do about it
+}
+
+// failed is the answer to a question that came to nothing.
+func failed(err error) reply {
+	r := reply{Error: err.Error()}
+	if f := fault.Of(err); f != nil {
+		r.Kind, r.Do = f.Kind.Name, f.Kind.Do
+	}
+	return r
 }
 
 const (
@@ -89,7 +99,7 @@
 	s.conns[c] = true
 	c.rest()
 	if uid, ok := conn.PeerUser(); !ok || uid != 0 && uid != os.Geteuid() {
-		c.send(reply{Error: "only the program's own user and root may ask"})
+		c.send(failed(forbidden.New("only the program's own user and root may ask")))
 		conn.Leave()
 	}
 	return c
@@ -104,10 +114,10 @@
 func (c *client) send(r reply) {
 	text, err := json.Marshal(r)
 	if err != nil {
-		text, _ = json.Marshal(reply{Error: err.Error()}) // a text alone is always one
+		text, _ = json.Marshal(failed(err)) // a text alone is always one
 	}
 	if len(text) >= replyMost {
-		text, _ = json.Marshal(reply{Error: "the answer is too long: ask for less"})
+		text, _ = json.Marshal(failed(question.New("the answer is too long: ask for less")))
 	}
 	c.conn.Write(append(text, '\n'))
 }
@@ -120,19 +130,19 @@
 	i := bytes.IndexByte(b, '\n')
 	if i < 0 {
 		if len(b) >= lineMost-1 {
-			return 0, errors.New("control: a line is too long")
+			return 0, question.New("control: a line is too long")
 		}
 		return 0, nil
 	}
 	if c.owed || len(b) > i+1 {
-		return 0, errors.New("control: a question came before the last was answered")
+		return 0, question.New("control: a question came before the last was answered")
 	}
 	c.rest()
 	var q Request
 	d := json.NewDecoder(bytes.NewReader(b[:i]))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&q); err != nil {
-		c.send(reply{Error: fmt.Sprintf("the question cannot be read: %v", err)})
+		c.send(failed(question.New("the question cannot be read: %w", err)))
 		return i + 1, nil
 	}
 	c.owed = true
@@ -146,7 +156,7 @@
 			switch c.owed = false; {
 			case c.conn.IsClosed():
 			case err != nil:
-				c.send(reply{Error: err.Error()})
+				c.send(failed(err))
 			default:
 				c.send(reply{OK: ok})
 			}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -87,13 +87,27 @@
 	return e
 }
 
+// Described is an error of a type of its own that tells its kind and its place.
+type Described interface {
+	error
+	Fault() (*Kind, Where)
+}
+
+// Fault implements Described.
+func (e *Error) Fault() (*Kind, Where) { return e.Kind, e.Where }
+
 // Of finds the error of a kind in what may be wrapped; nil: there is none.
 func Of(err error) *Error {
-	var e *Error
-	if errors.As(err, &e) {
+	var d Described
+	if !errors.As(err, &d) {
+		return nil
+	}
+	if e, ok := d.(*Error); ok {
 		return e
 	}
-	return nil
+	e := &Error{Err: d}
+	e.Kind, e.Where = d.Fault()
+	return e
 }
 
 // Is tells whether an error is of the kind.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -8,7 +8,6 @@
 package intake
 
 import (
-	"errors"
 	"fmt"
 
 	"shalesail/internal/inventory"
@@ -70,7 +69,7 @@
 )
 
 // ErrShrunk is that of a list that has lost too many of its servers.
-var ErrShrunk = errors.New("a HUP confirms it, if it is meant")
+var ErrShrunk error = shrunk.New("a HUP confirms it, if it is meant")
 
 // Judge decides about what was read, between two looks at the files.
 func (i *Intake) Judge(before, after Mark, servers []inventory.Server, err error, now int64) (Verdict, error) {
--- a/internal/inventory/groups.go
+++ b/internal/inventory/groups.go
@@ -183,7 +183,7 @@
 			files, err = listFiles(path)
 		}
 		if err != nil {
-			return fmt.Errorf("inventory: %w", err)
+			return kind.New("inventory: %w", err)
 		}
 		for _, file := range files {
 			if err := t.varFile(file, into); err != nil {
@@ -197,7 +197,7 @@
 func (t *tree) varFile(path string, into vars) error {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return fmt.Errorf("inventory: %w", err)
+		return kind.New("inventory: %w", err)
 	}
 	outer := t.file
 	t.file = path
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -16,6 +16,7 @@
 
 	"go.yaml.in/yaml/v3"
 
+	"shalesail/internal/fault"
 	"shalesail/internal/netaddr"
 )
 
@@ -41,6 +42,14 @@
 	Err  error
 }
 
+var kind = fault.Define("inventory.list", "An inventory cannot be read, names what cannot be, or may be cut off.",
+	"Correct the line that is named, or have the tool that keeps the list write it anew; the list in force stays meanwhile.")
+
+// Fault implements fault.Described.
+func (e *Error) Fault() (*fault.Kind, fault.Where) {
+	return kind, fault.Where{File: e.File, Line: e.Line}
+}
+
 func (e *Error) Error() string { return fmt.Sprintf("inventory: %s:%d: %v", e.File, e.Line, e.Err) }
 
 // Unwrap returns what is wrong.
@@ -54,13 +63,13 @@
 func Read(path string) ([]Server, error) {
 	info, err := os.Stat(path)
 	if err != nil {
-		return nil, fmt.Errorf("inventory: %w", err)
+		return nil, kind.New("inventory: %w", err)
 	}
 	files, dir := []string{path}, filepath.Dir(path)
 	if info.IsDir() {
 		dir = path
 		if files, err = listFiles(path); err != nil {
-			return nil, fmt.Errorf("inventory: %w", err)
+			return nil, kind.New("inventory: %w", err)
 		}
 	}
 	t := &table{byName: map[string]int{}, byAddr: map[netaddr.Addr]int{}}
@@ -68,7 +77,7 @@
 	for _, file := range files {
 		text, err := os.ReadFile(file)
 		if err != nil {
-			return nil, fmt.Errorf("inventory: %w", err)
+			return nil, kind.New("inventory: %w", err)
 		}
 		if err := t.read(file, text, tree); err != nil {
 			return nil, err
@@ -117,7 +126,7 @@
 	text = bytes.TrimPrefix(text, []byte("\ufeff")) // as spreadsheets write it
 	ending := strings.ToLower(filepath.Ext(path))
 	if ending != ".csv" && ending != ".yaml" && ending != ".yml" {
-		return fmt.Errorf("inventory: %s: neither .csv nor .yaml", path)
+		return kind.New("inventory: %s: neither .csv nor .yaml", path)
 	}
 	// What is cut off in the middle of a line may still read well, with half a name for a name.
 	if len(text) > 0 && text[len(text)-1] != '\n' {
--- a/internal/logs/event.go
+++ b/internal/logs/event.go
@@ -13,6 +13,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"shalesail/internal/fault"
 )
 
 // Event is a kind of line. Its name and those of its fields are what operators search for, and stay as they are once they
@@ -126,6 +128,7 @@
 // attrs are the values under the names of their fields.
 func (e *Event) attrs(values []any) []slog.Attr {
 	out := make([]slog.Attr, len(values))
+	var kind *fault.Error
 	for i, v := range values {
 		name := "surplus"
 		if i < len(e.Fields) {
@@ -137,6 +140,12 @@
 			v = x.String()
 		}
 		out[i] = slog.Any(name, v)
+		if err, ok := v.(error); ok {
+			kind = fault.Of(err)
+		}
+	}
+	if kind != nil { // stable names, and what to do, go with every error that has them
+		out = append(out, slog.String("kind", kind.Kind.Name), slog.String("do", kind.Kind.Do))
 	}
 	return out
 }
--- a/internal/metering/copied.go
+++ b/internal/metering/copied.go
@@ -28,7 +28,7 @@
 const correctWithin = 2_000_000
 
 // ErrUnkept is that of what others could not be told in time.
-var ErrUnkept = errors.New("usage: it is kept here, and others could not be told in time; give it again")
+var ErrUnkept error = unkept.New("usage: it is kept here, and others could not be told in time; give it again")
 
 // Join is how the account is known to others.
 type Join struct {
@@ -154,7 +154,7 @@
 }
 
 // errNoRoom is that of a use for which the ring has no room.
-var errNoRoom = errors.New("usage: no room for a use; the disk takes nothing")
+var errNoRoom error = noRoom.New("usage: no room for a use; the disk takes nothing")
 
 // Promise counts a use, and tells done on the loop once others know of it. Whoever asks gives up by itself.
 func (m *Meter) Promise(u usage.Use, done func(error)) {
@@ -364,7 +364,7 @@
 	}
 }
 
-var errBacklog = errors.New("usage: the disk takes no statements of others")
+var errBacklog error = noRoom.New("usage: the disk takes no statements of others")
 
 // hearOf takes a message about an account of another runner.
 func (m *Meter) hearOf(o *others, x *accounts.Message, work chan func() func()) {
--- a/internal/metering/desk.go
+++ b/internal/metering/desk.go
@@ -62,7 +62,7 @@
 		return nil, f, err
 	default:
 		if d.led, d.taken, err = usage.Recall(set, b); err != nil {
-			return nil, f, fmt.Errorf("usage: %s: %w", stateFile, err)
+			return nil, f, account.New("usage: %s: %w", stateFile, err)
 		}
 	}
 	if len(old) > 0 && !f.New {
@@ -109,7 +109,7 @@
 		return err
 	}
 	if i := slices.IndexFunc(names, func(n string) bool { return strings.HasPrefix(n, "usage-"+instance+"-") }); i >= 0 {
-		return fmt.Errorf("usage: there is %s and no %s: move the statements away to begin a new account", names[i], stateFile)
+		return account.New("usage: there is %s and no %s: move the statements away to begin a new account", names[i], stateFile)
 	}
 	return nil
 }
--- a/internal/metering/metering.go
+++ b/internal/metering/metering.go
@@ -6,7 +6,6 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
-	"fmt"
 	"log/slog"
 	"os"
 	"path/filepath"
@@ -138,7 +137,7 @@
 	defer f.Close()
 	// The blocks are taken now: a page that finds no room on the disk when it is written to ends the process.
 	if err := unix.Fallocate(int(f.Fd()), 0, 0, int64(size)); err != nil {
-		return nil, fmt.Errorf("usage: %s: %w", path, err)
+		return nil, account.New("usage: %s: %w", path, err)
 	}
 	return unix.Mmap(int(f.Fd()), 0, size, unix.PROT_READ|unix.PROT_WRITE, unix.MAP_SHARED|unix.MAP_POPULATE)
 }
@@ -169,7 +168,7 @@
 }
 
 // ErrBusy is that of a question that finds others waiting.
-var ErrBusy = errors.New("usage: too many questions wait for the disk")
+var ErrBusy error = busy.New("usage: too many questions wait for the disk")
 
 func (m *Meter) ask(fn func(*desk)) error {
 	select {
@@ -253,6 +252,6 @@
 	case <-m.done:
 		return errors.Join(unix.Munmap(m.mem), m.unlock())
 	case <-time.After(within):
-		return errors.New("usage: the disk does not answer; what was counted is counted at the next start")
+		return noRoom.New("usage: the disk does not answer; what was counted is counted at the next start")
 	}
 }
--- a/internal/peers/copies/copies.go
+++ b/internal/peers/copies/copies.go
@@ -1,7 +1,6 @@
 package copies
 
 import (
-	"errors"
 	"slices"
 
 	"shalesail/internal/peers/plan"
@@ -20,9 +19,9 @@
 
 // Errors of an ask.
 var (
-	ErrSlow   = errors.New("copies: its copies were not to be had in time")
-	ErrShut   = errors.New("copies: nothing new is taken")
-	ErrDenied = errors.New("copies: another try of the key is kept")
+	ErrSlow   error = slow.New("copies: its copies were not to be had in time")
+	ErrShut   error = shut.New("copies: nothing new is taken")
+	ErrDenied error = denied.New("copies: another try of the key is kept")
 )
 
 // Config is what a holder is.
--- a/internal/peers/council/council.go
+++ b/internal/peers/council/council.go
@@ -117,7 +117,7 @@
 	}
 	place := c.place(cfg.Name)
 	if len(cfg.Voters)%2 == 0 || len(cfg.Voters) > mostVoters {
-		return nil, fmt.Errorf("council: %d voters: want an odd number up to %d", len(cfg.Voters), mostVoters)
+		return nil, voters.New("council: %d voters: want an odd number up to %d", len(cfg.Voters), mostVoters)
 	}
 	if place == 0 {
 		return c, nil
@@ -126,11 +126,11 @@
 	c.blank = me.Life<<8 | place
 	for i := range disk {
 		if err := c.restore(&disk[i]); err != nil {
-			return nil, fmt.Errorf("council: record %d of the disk: %w", i, err)
+			return nil, voters.New("council: record %d of the disk: %w", i, err)
 		}
 	}
 	if len(disk) > 0 && c.raftID == 0 {
-		return nil, errors.New("council: the disk does not have this voter's number")
+		return nil, voters.New("council: the disk does not have this voter's number")
 	}
 	return c, c.gather()
 }
@@ -274,9 +274,9 @@
 
 // Errors of a member that is to leave or to stay.
 var (
-	ErrStranger = errors.New("council: no member has that name")
-	ErrOlder    = errors.New("council: a voter is of an older version, which knows nothing of members that leave")
-	ErrNobody   = errors.New("council: too few others are left to hold its copies")
+	ErrStranger error = stranger.New("council: no member has that name")
+	ErrOlder    error = older.New("council: a voter is of an older version, which knows nothing of members that leave")
+	ErrNobody   error = nobody.New("council: too few others are left to hold its copies")
 )
 
 // Leave has a member hold nothing any more, or stay after all. It is done by and by: see Table.Holding.
@@ -559,7 +559,7 @@
 		for _, m := range rd.Messages {
 			data, err := proto.Marshal(m)
 			if err != nil {
-				return nil, fmt.Errorf("council: %w", err)
+				return nil, council.New("council: %w", err)
 			}
 			if to := c.voter(m.GetTo()); to != "" {
 				c.send(Message{Kind: Raft, To: to, Raft: data})
@@ -588,7 +588,7 @@
 		}
 		k.Snapshot, k.Entries = data, nil
 		if err := c.snapshot(rd.Snapshot); err != nil {
-			return fmt.Errorf("council: %w", err)
+			return council.New("council: %w", err)
 		}
 	}
 	for _, e := range rd.Entries {
@@ -599,7 +599,7 @@
 		k.Entries = append(k.Entries, data)
 	}
 	if err := c.store.Append(rd.Entries); err != nil {
-		return fmt.Errorf("council: %w", err)
+		return council.New("council: %w", err)
 	}
 	if rd.HardState != nil && !raft.IsEmptyHardState(rd.HardState) {
 		data, err := proto.Marshal(rd.HardState)
@@ -648,11 +648,11 @@
 	}
 	s, err := c.store.CreateSnapshot(c.applied, c.conf, data)
 	if err != nil {
-		return fmt.Errorf("council: %w", err)
+		return council.New("council: %w", err)
 	}
 	c.cut = c.applied
 	if err := c.store.Compact(c.applied); err != nil {
-		return fmt.Errorf("council: %w", err)
+		return council.New("council: %w", err)
 	}
 	// The disk begins anew with it, and with what comes behind it.
 	k.Snapshot, err = proto.Marshal(s)
--- a/internal/peers/link/link.go
+++ b/internal/peers/link/link.go
@@ -5,7 +5,6 @@
 import (
 	"encoding/binary"
 	"errors"
-	"fmt"
 	"hash/crc32"
 	"log/slog"
 	"net/netip"
@@ -41,8 +40,8 @@
 )
 
 var (
-	errNotInFile = errors.New("link: it is not in the file any more")
-	errIdle      = errors.New("link: nobody uses it")
+	errNotInFile error = broken.New("link: it is not in the file any more")
+	errIdle      error = broken.New("link: nobody uses it")
 )
 
 var table = crc32.MakeTable(crc32.Castagnoli)
@@ -68,10 +67,10 @@
 func Append(b []byte, f *Frame) ([]byte, error) {
 	payload, err := cbor.Marshal(f)
 	if err != nil {
-		return b, fmt.Errorf("link: %w", err)
+		return b, broken.New("link: %w", err)
 	}
 	if len(payload) > maxFrame {
-		return b, fmt.Errorf("link: a message of %d bytes is over %d", len(payload), maxFrame)
+		return b, broken.New("link: a message of %d bytes is over %d", len(payload), maxFrame)
 	}
 	b = binary.LittleEndian.AppendUint32(b, magic)
 	b = binary.LittleEndian.AppendUint32(b, uint32(len(payload)))
@@ -94,18 +93,18 @@
 	}
 	n := int(binary.LittleEndian.Uint32(b[4:]))
 	if binary.LittleEndian.Uint32(b) != magic || n > maxFrame {
-		return nil, 0, errors.New("link: no frame")
+		return nil, 0, broken.New("link: no frame")
 	}
 	if len(b) < head+n {
 		return nil, 0, nil
 	}
 	payload := b[head : head+n]
 	if crc32.Checksum(payload, table) != binary.LittleEndian.Uint32(b[8:]) {
-		return nil, 0, errors.New("link: a damaged frame")
+		return nil, 0, broken.New("link: a damaged frame")
 	}
 	f = &Frame{}
 	if err := decoder.Unmarshal(payload, f); err != nil {
-		return nil, 0, fmt.Errorf("link: %w", err)
+		return nil, 0, broken.New("link: %w", err)
 	}
 	return f, head + n, nil
 }
@@ -336,7 +335,7 @@
 
 // Data implements loop.Handler: a peer says what it says on a connection of its own.
 func (p *out) Data([]byte) (int, error) {
-	return 0, errors.New("link: an answer on a one-way connection")
+	return 0, broken.New("link: an answer on a one-way connection")
 }
 
 // End implements loop.Handler.
--- a/internal/peers/party/disk.go
+++ b/internal/peers/party/disk.go
@@ -1,7 +1,6 @@
 package party
 
 import (
-	"errors"
 	"log/slog"
 	"time"
 
@@ -152,7 +151,7 @@
 	}
 }
 
-var errCloses = errors.New("party: the disk does not answer; what is there counts")
+var errCloses error = unsaved.New("party: the disk does not answer; what is there counts")
 
 // Close gives the folder back, with what is held of slots in it. No more comes from the loop by then.
 func (p *Party) Close() error {
--- /dev/null
+++ b/internal/peers/party/kinds.go
@@ -0,0 +1,11 @@
+package party
+
+import "shalesail/internal/fault"
+
+// What can go wrong here, and what an operator can do about it.
+var (
+	leaves = fault.Define("peers.leaves", "The runner in whose favour another is to leave is not in, or leaves itself.",
+		"Add it to all files and start it first, or name another one.")
+	unsaved = fault.Define("peers.unsaved", "The peers' folder did not answer as the program ended.",
+		"See to its disk; what is there counts at the next start, and the others send the rest.")
+)
--- a/internal/peers/party/party.go
+++ b/internal/peers/party/party.go
@@ -4,7 +4,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"log/slog"
 
 	"shalesail/internal/core"
@@ -224,9 +223,9 @@
 	m := p.council.Table().Member(by)
 	switch {
 	case m == nil || m.Life == 0:
-		return fmt.Errorf("%s is not in: add it to all files, and start it first", by)
+		return leaves.New("%s is not in: add it to all files, and start it first", by)
 	case m.Leaving || old == by:
-		return fmt.Errorf("%s is leaving itself", by)
+		return leaves.New("%s is leaving itself", by)
 	}
 	return p.Leave(old, true)
 }
--- a/internal/peers/vault/vault.go
+++ b/internal/peers/vault/vault.go
@@ -107,7 +107,7 @@
 	return append(b, payload...), nil
 }
 
-var errDamaged = errors.New("vault: it is not whole")
+var errDamaged error = damaged.New("vault: it is not whole")
 
 // next reads the value at the front of b.
 func next(b []byte, value any) (used int, err error) {
@@ -119,7 +119,7 @@
 		return 0, errDamaged
 	}
 	if err := cbor.Unmarshal(b[head:head+n], value); err != nil {
-		return 0, fmt.Errorf("vault: %w", err)
+		return 0, damaged.New("vault: %w", err)
 	}
 	return head + n, nil
 }
--- a/internal/store/fs.go
+++ b/internal/store/fs.go
@@ -32,7 +32,7 @@
 }
 
 // ErrLocked is that of a folder that another process uses.
-var ErrLocked = errors.New("another process uses it")
+var ErrLocked error = locked.New("another process uses it")
 
 // Dir is the files of a folder of the system's.
 type Dir string
--- a/internal/store/journal.go
+++ b/internal/store/journal.go
@@ -86,7 +86,7 @@
 func read(fsys FS, now int64, opt Options) (*State, *Found, []uint64, []uint64, error) {
 	names, err := fsys.List()
 	if err != nil {
-		return nil, nil, nil, nil, fmt.Errorf("store: %w", err)
+		return nil, nil, nil, nil, disk.New("store: %w", err)
 	}
 	var segments, snapshots []uint64
 	for _, name := range names {
@@ -103,7 +103,7 @@
 	for _, n := range slices.Backward(snapshots) {
 		b, err := fsys.Read(snapshotName(n))
 		if err != nil {
-			return nil, nil, nil, nil, fmt.Errorf("store: %w", err)
+			return nil, nil, nil, nil, disk.New("store: %w", err)
 		}
 		s := NewState()
 		if err := loadSnapshot(snapshotName(n), b, n, s); err == nil {
@@ -128,7 +128,7 @@
 		}
 		b, err := fsys.Read(segmentName(n))
 		if err != nil {
-			return nil, nil, nil, nil, fmt.Errorf("store: %w", err)
+			return nil, nil, nil, nil, disk.New("store: %w", err)
 		}
 		got, err := scan(segmentName(n), b, n, i == len(segments)-1 || opt.Mode == None, state)
 		if err != nil {
@@ -167,12 +167,12 @@
 		for _, d := range f.Damage {
 			if d.To > 0 {
 				if err := fsys.Rename(d.File, d.File+".bad"); err != nil && !gone(err) {
-					return nil, nil, fmt.Errorf("store: repair: %w", err)
+					return nil, nil, disk.New("store: repair: %w", err)
 				}
 			}
 		}
 		if err := fsys.SyncDir(); err != nil {
-			return nil, nil, fmt.Errorf("store: repair: %w", err)
+			return nil, nil, disk.New("store: repair: %w", err)
 		}
 	}
 	j := &Journal{fs: fsys, opt: opt, state: state, number: f.Snapshot}
@@ -213,7 +213,7 @@
 		}
 	}
 	if err != nil {
-		return fmt.Errorf("store: %w", err)
+		return disk.New("store: %w", err)
 	}
 	head := appendHeader(nil, j.number+1)
 	if _, err = f.Write(head); err == nil && j.opt.Mode != None {
@@ -222,7 +222,7 @@
 		}
 	}
 	if err != nil {
-		return errors.Join(fmt.Errorf("store: %w", err), f.Close(), j.fs.Remove(name))
+		return errors.Join(disk.New("store: %w", err), f.Close(), j.fs.Remove(name))
 	}
 	j.number++
 	j.file, j.size, j.synced, j.told = f, int64(len(head)), int64(len(head)), 0
@@ -271,13 +271,13 @@
 	}
 	n, err := j.file.Write(j.buf)
 	if j.size += int64(n); err != nil {
-		return fmt.Errorf("store: %w", err)
+		return disk.New("store: %w", err)
 	}
 	if j.opt.Mode == None {
 		return nil
 	}
 	if err := j.file.Sync(); err != nil {
-		return fmt.Errorf("store: %w", err)
+		return disk.New("store: %w", err)
 	}
 	j.told, j.synced = j.synced, j.size
 	return nil
@@ -291,7 +291,7 @@
 	err := j.file.Close() // it is synced
 	j.file = nil
 	if err != nil {
-		return fmt.Errorf("store: %w", err)
+		return disk.New("store: %w", err)
 	}
 	j.sealed += j.size
 	j.size = 0
@@ -314,7 +314,7 @@
 	err := j.file.Close()
 	j.file = nil
 	if err != nil {
-		return nil, fmt.Errorf("store: %w", err)
+		return nil, disk.New("store: %w", err)
 	}
 	j.sealed += j.size
 	j.size = 0
@@ -347,11 +347,11 @@
 	name := snapshotName(s.covers)
 	tmp := name + unfinished
 	if err := s.fs.Remove(tmp); err != nil && !gone(err) {
-		return fmt.Errorf("store: %w", err)
+		return disk.New("store: %w", err)
 	}
 	f, err := s.fs.Create(tmp)
 	if err != nil {
-		return fmt.Errorf("store: %w", err)
+		return disk.New("store: %w", err)
 	}
 	err = s.write(f)
 	if e := f.Close(); err == nil {
@@ -364,7 +364,7 @@
 		err = s.fs.SyncDir()
 	}
 	if err != nil {
-		return errors.Join(fmt.Errorf("store: %w", err), s.fs.Remove(tmp))
+		return errors.Join(disk.New("store: %w", err), s.fs.Remove(tmp))
 	}
 	return nil
 }
@@ -427,4 +427,4 @@
 }
 
 // ErrDown is that of a disk that failed and has not come back.
-var ErrDown = errors.New("store: the disk failed, and nothing is kept until it works again")
+var ErrDown error = down.New("store: the disk failed, and nothing is kept until it works again")
--- a/internal/store/record.go
+++ b/internal/store/record.go
@@ -13,6 +13,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/klauspost/compress/s2"
+
+	"shalesail/internal/fault"
 )
 
 // Name is whose key it is. Classes and tenants go by their names: their places in a configuration change.
@@ -159,6 +161,9 @@
 	Format int
 }
 
+// Fault implements fault.Described.
+func (e *FormatError) Fault() (*fault.Kind, fault.Where) { return newer, fault.Where{File: e.File} }
+
 func (e *FormatError) Error() string {
 	return fmt.Sprintf("store: %s: format %d, and this program knows up to %d: it was written by a newer one", e.File, e.Format, Format)
 }
--- a/internal/store/recover.go
+++ b/internal/store/recover.go
@@ -5,6 +5,8 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+
+	"shalesail/internal/fault"
 )
 
 // Damage is a part of a file that cannot be read, and that a crash does not explain.
@@ -16,6 +18,11 @@
 // DamageError tells of files that are damaged. A program does not start with them unless it is told to repair them.
 type DamageError struct{ Damage []Damage }
 
+// Fault implements fault.Described.
+func (e *DamageError) Fault() (*fault.Kind, fault.Where) {
+	return damaged, fault.Where{File: e.Damage[0].File}
+}
+
 func (e *DamageError) Error() string {
 	d := e.Damage[0]
 	return fmt.Sprintf("store: %s: bytes %d to %d are damaged, %d places in all: what they held is lost; -repair keeps the file aside and goes on",
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"log/slog"
 	"sync"
 	"time"
@@ -30,7 +29,7 @@
 }
 
 // ErrBusy is that of a record that finds the queue full.
-var ErrBusy = errors.New("store: too much waits for the disk")
+var ErrBusy error = slow.New("store: too much waits for the disk")
 
 const (
 	retryFirst = 100 * time.Millisecond // after the disk failed
@@ -118,7 +117,7 @@
 	case <-s.done:
 		return nil
 	case <-time.After(within):
-		return fmt.Errorf("store: the disk does not answer within %v", within)
+		return slow.New("store: the disk does not answer within %v", within)
 	}
 }
 
--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -2,8 +2,6 @@
 
 import (
 	"cmp"
-	"errors"
-	"fmt"
 	"maps"
 	"slices"
 )
@@ -188,7 +186,7 @@
 func (l *Ledger) Life() string { return l.life }
 
 // ErrFull is that of a correction for which there is no room before the next statement.
-var ErrFull = errors.New("usage: too many corrections since the last statement")
+var ErrFull error = full.New("usage: too many corrections since the last statement")
 
 // Correct takes a correction. One whose ID is known is taken already, and is no error; known tells of it.
 func (l *Ledger) Correct(c Correction, now int64) (known bool, err error) {
@@ -197,20 +195,20 @@
 		must        bool
 	}{{"id", c.ID, true}, {"school", c.School, true}, {"class", c.Class, true}, {"why", c.Why, true}, {"by", c.By, false}} {
 		if f.must && f.value == "" {
-			return false, fmt.Errorf("usage: correction: field %s is missing", f.name)
+			return false, correction.New("usage: correction: field %s is missing", f.name)
 		}
 		if len(f.value) > longestText {
-			return false, fmt.Errorf("usage: correction: field %s has %d bytes; %d is the most", f.name, len(f.value), longestText)
+			return false, correction.New("usage: correction: field %s has %d bytes; %d is the most", f.name, len(f.value), longestText)
 		}
 	}
 	if c.Count == (Count{}) {
-		return false, errors.New("usage: correction: it changes nothing")
+		return false, correction.New("usage: correction: it changes nothing")
 	}
 	if c.Period != l.set.PeriodOf(c.Period) {
-		return false, fmt.Errorf("usage: correction: field period: none begins at %d; the one it is in at %d", c.Period, l.set.PeriodOf(c.Period))
+		return false, correction.New("usage: correction: field period: none begins at %d; the one it is in at %d", c.Period, l.set.PeriodOf(c.Period))
 	}
 	if c.Period > now {
-		return false, fmt.Errorf("usage: correction: field period: %d has not begun", c.Period)
+		return false, correction.New("usage: correction: field period: %d has not begun", c.Period)
 	}
 	if l.known[c.ID] {
 		return true, nil
--- a/internal/usage/reconcile.go
+++ b/internal/usage/reconcile.go
@@ -77,7 +77,7 @@
 			r.period, r.slice = s.PeriodUs, s.SliceUs
 		}
 		if s.PeriodUs != r.period || s.SliceUs != r.slice {
-			return nil, fmt.Errorf("usage: %s has periods of %d s in slices of %d s, others of %d and %d", s.Name(), s.PeriodUs/1e6, s.SliceUs/1e6, r.period/1e6, r.slice/1e6)
+			return nil, apart.New("usage: %s has periods of %d s in slices of %d s, others of %d and %d", s.Name(), s.PeriodUs/1e6, s.SliceUs/1e6, r.period/1e6, r.slice/1e6)
 		}
 		a := account{s.Instance, s.Life}
 		if byAccount[a] == nil {
--- a/internal/usage/ring.go
+++ b/internal/usage/ring.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"errors"
 	"hash/crc32"
 	"sync/atomic"
 	"unsafe"
@@ -42,7 +41,7 @@
 func RingSize(records int) int { return headerSize + namesSize + records*recordSize }
 
 // ErrRing is that of memory that holds no ring of this account.
-var ErrRing = errors.New("usage: no ring of this account")
+var ErrRing error = ring.New("usage: no ring of this account")
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
--- a/internal/usage/state.go
+++ b/internal/usage/state.go
@@ -85,11 +85,11 @@
 	}
 	switch {
 	case s.Format < 1 || s.Format > Format:
-		return nil, 0, fmt.Errorf("format %d; this program knows up to %d", s.Format, Format)
+		return nil, 0, format.New("format %d; this program knows up to %d", s.Format, Format)
 	case s.Instance != set.Instance:
-		return nil, 0, fmt.Errorf("it is the account of %s, and this is %s", s.Instance, set.Instance)
+		return nil, 0, format.New("it is the account of %s, and this is %s", s.Instance, set.Instance)
 	case set.Period != 0 && (s.PeriodUs != set.Period || s.SliceUs != set.Slice):
-		return nil, 0, fmt.Errorf("it has periods of %d s in slices of %d s, and the settings say %d and %d: end it, and begin another folder",
+		return nil, 0, format.New("it has periods of %d s in slices of %d s, and the settings say %d and %d: end it, and begin another folder",
 			s.PeriodUs/1e6, s.SliceUs/1e6, set.Period/1e6, set.Slice/1e6)
 	}
 	set.Period, set.Slice = s.PeriodUs, s.SliceUs
--- a/internal/usage/statement.go
+++ b/internal/usage/statement.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"strings"
 )
@@ -87,9 +86,9 @@
 
 var (
 	// ErrCut is that of a file whose end is missing.
-	ErrCut = errors.New("its end is missing")
+	ErrCut error = damaged.New("its end is missing")
 	// ErrChanged is that of a file that is not as it was written.
-	ErrChanged = errors.New("it is not as it was written")
+	ErrChanged error = damaged.New("it is not as it was written")
 )
 
 // sealed is what stands before the line with its digest.
@@ -124,7 +123,7 @@
 		return err
 	}
 	if s.Format < 1 || s.Format > formatLast {
-		return fmt.Errorf("format %d; this program knows up to %d", s.Format, formatLast)
+		return format.New("format %d; this program knows up to %d", s.Format, formatLast)
 	}
 	return s.check()
 }
@@ -133,22 +132,22 @@
 func (s *Statement) check() error {
 	switch {
 	case s.Instance == "" || strings.ContainsAny(s.Instance, "/\x00"):
-		return errors.New("field instance: empty, or not part of a file's name")
+		return format.New("field instance: empty, or not part of a file's name")
 	case s.Life == "" || s.Seq == 0:
-		return errors.New("field life or seq is missing")
+		return format.New("field life or seq is missing")
 	case s.PeriodUs <= 0 || s.SliceUs <= 0 || s.PeriodUs%s.SliceUs != 0:
-		return fmt.Errorf("field slice_us: %d does not divide period_us, %d", s.SliceUs, s.PeriodUs)
+		return format.New("field slice_us: %d does not divide period_us, %d", s.SliceUs, s.PeriodUs)
 	case s.From%s.PeriodUs != 0 || s.To%s.PeriodUs != 0 || s.From > s.To:
-		return fmt.Errorf("field from: %d to %d are no periods of %d", s.From, s.To, s.PeriodUs)
+		return format.New("field from: %d to %d are no periods of %d", s.From, s.To, s.PeriodUs)
 	case (s.Seq == 1) != (s.Before == ""):
-		return errors.New("field before: the first statement has none before it, all others have one")
+		return format.New("field before: the first statement has none before it, all others have one")
 	}
 	for i, n := range s.Lines {
 		if n.Period%s.PeriodUs != 0 || n.Period >= s.To || int64(len(n.Slices)) > s.PeriodUs/s.SliceUs {
-			return fmt.Errorf("field lines, no. %d: period %d with %d slices in a statement up to %d", i+1, n.Period, len(n.Slices), s.To)
+			return format.New("field lines, no. %d: period %d with %d slices in a statement up to %d", i+1, n.Period, len(n.Slices), s.To)
 		}
 		if n.isBelow() {
-			return fmt.Errorf("field lines, no. %d: a sum below nought", i+1)
+			return format.New("field lines, no. %d: a sum below nought", i+1)
 		}
 	}
 	return nil
--- a/internal/yamldoc/yamldoc.go
+++ b/internal/yamldoc/yamldoc.go
@@ -10,6 +10,8 @@
 	"strings"
 
 	"go.yaml.in/yaml/v3"
+
+	"shalesail/internal/fault"
 )
 
 // Doc is one file that was read.
@@ -27,6 +29,14 @@
 	What  string
 }
 
+var kind = fault.Define("file.field", "A YAML file has a field that is not known, or a value that the field cannot have.",
+	"Correct the line that is named; ryepaddle check reads the files without starting anything, and ryepaddle schema lists the fields.")
+
+// Fault implements fault.Described.
+func (e *Error) Fault() (*fault.Kind, fault.Where) {
+	return kind, fault.Where{File: e.File, Line: e.Line, Field: e.Field}
+}
+
 func (e *Error) Error() string {
 	at := e.File
 	if e.Line > 0 {
