A request without hope behind those that are held is refused as it is read

Wrong: admit looked whether the run alone still fits in the aim, and dispatch found out later that it does not. Now the time that those held before it take to start is added, as runs end.

--- a/controller.go
+++ b/controller.go
@@ -325,7 +325,7 @@
 	case c.full(r.class) && float64(delay) > c.fig.RefuseAt*float64(target):
 		w := why(CauseDelay, delay.Seconds(), c.fig.RefuseAt*target.Seconds())
 		c.refuse(r, delay-target, r.walked || c.further > c.fig.FewShare, w)
-	case c.full(r.class) && c.hopeless(r):
+	case c.full(r.class) && c.hopeless(r, c.wait(r)):
 		c.refuse(r, 0, r.walked || c.further > c.fig.FewShare, why(CauseHopeless, 0, 0))
 	case !c.spend(e.Tenant) && c.full(r.class) && delay > target:
 		c.refuse(r, 0, true, why(CauseShare, delay.Seconds(), target.Seconds()))
@@ -362,8 +362,18 @@
 	return time.Duration(min(took, 1e6) * float64(time.Second))
 }
 
-// hopeless reports that r cannot be answered in the time in which its answer has worth.
-func (c *Controller) hopeless(r *request) bool {
+// wait is how long those that are held beside r take to start, as runs end. To find out by waiting that there is no hope
+// would keep a request from others that have room.
+func (c *Controller) wait(r *request) time.Duration {
+	work := -c.holds[r.class].mean // it is held itself
+	for i := range c.holds {
+		work += float64(len(c.holds[i].line)) * c.holds[i].mean
+	}
+	return time.Duration(work / float64(max(c.onCores+c.atCalls, c.set.Cores)) * float64(time.Second))
+}
+
+// hopeless reports that r, if it waits for so long, cannot be answered in the time in which its answer has worth.
+func (c *Controller) hopeless(r *request, wait time.Duration) bool {
 	if !c.full(r.class) { // a guess must not turn work away where there is room for it
 		return r.due <= c.now+guardTime
 	}
@@ -375,7 +385,7 @@
 	if c.set.Halt == HaltNone { // what turns out to be late takes its cores to the end
 		run *= c.fig.HopeShare
 	}
-	return c.now+time.Duration(run) > end
+	return c.now+wait+time.Duration(run) > end
 }
 
 // quota is a tenant's part of this server, in requests a second.
@@ -517,7 +527,7 @@
 		if r == nil {
 			return
 		}
-		if c.hopeless(r) {
+		if c.hopeless(r, 0) {
 			c.refuse(r, 0, true, why(CauseHopeless, 0, 0))
 			continue
 		}
@@ -909,7 +919,7 @@
 func (c *Controller) sweep() {
 	for i := range c.holds {
 		for _, r := range slices.Clone(c.holds[i].line) {
-			if r.due <= c.now+guardTime || c.hopeless(r) {
+			if r.due <= c.now+guardTime || c.hopeless(r, 0) {
 				c.refuse(r, 0, true, why(CauseHopeless, 0, 0))
 			}
 		}
--- a/controller_test.go
+++ b/controller_test.go
@@ -475,6 +475,22 @@
 	}
 }
 
+// What waits behind others until there is no hope could have gone to a server with room, had it been told at once.
+func TestNoHopeBehindOthersIsToldAtOnce(t *testing.T) {
+	for waiting, want := range map[int]ActionKind{0: ActionKeep, 12: ActionRefuse} {
+		h := newHand(t, func(s *Settings) { s.Cores, s.Classes[2].Effect, s.Classes[2].Window = 1, Keyed, time.Second })
+		h.at(0, h.ask(1, 2))
+		h.at(300*ms, Event{Kind: EventDone, Request: 1, Outcome: OK})
+		h.gauges(100*ms, 1, 1)
+		for id := 2; id < 3+waiting; id++ { // one runs
+			h.at(0, h.ask(uint64(id), 2))
+		}
+		if a := h.want(h.at(0, h.ask(100, 2)), want, 100); want == ActionRefuse && (a.Cause != CauseHopeless || a.Last) {
+			t.Errorf("%+v", a)
+		}
+	}
+}
+
 // A server that alone reads too late leaves the list and comes back; where further tries tell that others are
 // no better off, it stays.
 func TestServerThatReadsTooLateLeavesTheList(t *testing.T) {
