The call of a request that is over counts until it ends

By how calls end: 33 and 34 a second were taken for gone as their requests were answered or given up, and 'ended well' came for them up to 4.9 s later. Wrong: release brought a request back from its call at once and let it linger for Linger; only a call that is given up leaves so soon. Now it is in hand until its end, or that of its run, is reported; on sockets the core closes the call, and the engine reports the end of the run soon after. Ruled out: cold instances, and the overdraft of the account.

--- a/controller.go
+++ b/controller.go
@@ -482,8 +482,9 @@
 			c.learn(r) // or the mean would fall with each run stopped for being long
 			c.act(Action{Kind: ActionHalt, Request: r.id})
 		}
-	default: // at a call: its run is reported over
-		c.resume(r, r.state == calling)
+	case blocked:
+		c.resume(r)
+	default: // its call is in the dependency's hands until its end, or that of its run, is reported
 	}
 }
 
@@ -837,7 +838,7 @@
 		c.fail(r, why(CauseCallFailed, 0, 0))
 		return
 	}
-	c.resume(r, false)
+	c.resume(r)
 	c.act(Action{Kind: ActionOmit, Request: r.id})
 }
 
@@ -861,15 +862,15 @@
 			c.callBest = high
 		}
 	}
-	if e.Outcome == OK {
-		c.resume(r, false)
+	if e.Outcome == TimedOut { // one that broke was dropped by the dependency itself
+		c.linger()
+	}
+	if e.Outcome == OK || r.answered {
+		c.resume(r)
 		return
 	}
 	c.inHand--
 	r.state = blocked
-	if e.Outcome == TimedOut { // one that broke was dropped by the dependency itself
-		c.linger()
-	}
 	again := r.tries < maxCalls && (proven || c.set.Classes[r.class].Effect == Safe)
 	if !again || e.Outcome == TimedOut {
 		c.without(r)
@@ -891,8 +892,8 @@
 }
 
 // resume brings r back from a call.
-func (c *Controller) resume(r *request, abandoned bool) {
-	c.leaveCall(r, abandoned)
+func (c *Controller) resume(r *request) {
+	c.leaveCall(r, false)
 	r.state = running
 	c.onCores++
 	c.load++
--- a/controller_test.go
+++ b/controller_test.go
@@ -271,6 +271,30 @@
 	}
 }
 
+// The call of a request that is over goes on below until its end is reported. Taken for gone after its linger, calls of a slow
+// dependency were counted at half of what it had in its hands, and it fell over.
+func TestCallsOfRequestsThatAreOverStillCount(t *testing.T) {
+	h := newHand(t, func(s *Settings) { s.CallsOut = 20 })
+	for id := uint64(1); id <= 3; id++ {
+		h.at(0, h.ask(id, 0))
+		h.want(h.at(0, Event{Kind: EventBlocked, Request: id}), ActionCall, id)
+	}
+	h.at(ms, Event{Kind: EventGone, Request: 1}, Event{Kind: EventGone, Request: 2}, Event{Kind: EventGone, Request: 3})
+	h.gauges(time.Second, 0.1, 0) // five times the linger
+	if h.ctl.inHand != 3 {
+		t.Errorf("%d calls in hand, 3 are", h.ctl.inHand)
+	}
+	h.at(0, Event{Kind: EventCalled, Request: 1, Outcome: OK, Elapsed: time.Second},
+		Event{Kind: EventCalled, Request: 2, Outcome: TimedOut, Elapsed: time.Second}, Event{Kind: EventDone, Request: 3, Outcome: Cancelled})
+	if h.ctl.inHand != 0 || len(h.ctl.lingering) != 2 {
+		t.Errorf("%d calls in hand, %d linger", h.ctl.inHand, len(h.ctl.lingering))
+	}
+	h.at(0, Event{Kind: EventDone, Request: 1, Outcome: Cancelled}, Event{Kind: EventDone, Request: 2, Outcome: Cancelled})
+	if h.ctl.onCores != 0 || h.ctl.atCalls != 0 || len(h.ctl.requests) != 0 {
+		t.Errorf("%d on the cores, %d at calls, %d requests", h.ctl.onCores, h.ctl.atCalls, len(h.ctl.requests))
+	}
+}
+
 func TestCrowdedDependencyGetsFewerCalls(t *testing.T) {
 	h := newHand(t, func(s *Settings) { s.CallsOut = 20 })
 	most := h.ctl.callLimit
