The pool grows no further than twice its use; calls are slow at 2.5 times the best

Seen, on the other deployment, by looks at all runners: pools of 30 to 38 credits, the ceiling, at runners with 2.7 requests on their cores in the mean, and of 14.7 at one that was busy in 49 of 60 looks. Credit that nobody uses does not hold a caller back when load comes, and takes periods to be cut. The ceiling is ours by the design; it is twice what is on the cores and at calls, and the cores, now. With the account of calls right, CallSlow may be 2.5.

--- a/controller.go
+++ b/controller.go
@@ -32,7 +32,7 @@
 	HoldShare:   0.95,  // of the memory: arrivals are refused past it; the rest is for what is read unasked
 	CallShare:   0.8,   // of the stated share of the dependency: the most that is spent steadily on calls
 	CallLeast:   0.2,   // of it: the least, however small; the rest is saved up for calls that take long
-	CallSlow:    2.0,   // best mean times of a call: past it the dependency is crowded
+	CallSlow:    2.5,   // best mean times of a call: past it the dependency is crowded
 	CallCut:     0.9,   // a period: how fast a crowded dependency is given room
 	CallForget:  1.003, // a call: how fast the best mean is forgotten
 	CallLate:    1e-6,  // of worth, for each second left: the order of requests that are late
@@ -978,7 +978,9 @@
 		}
 		c.pool = max(c.pool*max(1-c.fig.Beta*worst, c.fig.CutFloor), least)
 	} else {
-		c.pool = min(c.pool+max(c.fig.Alpha*float64(max(c.heardN, 1)), 1), c.crowd())
+		// Nor beyond twice what it was good for: credit that nobody used would all be drawn at once as load comes.
+		use := float64(c.onCores + c.atCalls + c.set.Cores)
+		c.pool = min(c.pool+max(c.fig.Alpha*float64(max(c.heardN, 1)), 1), c.crowd(), max(c.pool, 2*use))
 	}
 	c.turn(&c.overloaded, full && (worst >= 0 || c.overloaded),
 		"overload entered: queueing delay over target, credit cut", "overload left: capacity no longer full")
--- a/controller_test.go
+++ b/controller_test.go
@@ -499,6 +499,23 @@
 	}
 }
 
+// Credit grew to the ceiling while nobody used it, and was all drawn at once by whatever came next; it takes periods to cut.
+func TestPoolStaysNearItsUse(t *testing.T) {
+	h := newHand(t, func(s *Settings) { s.CrowdLimit = 20 })
+	most := 2 * float64(h.ctl.set.Cores)
+	h.gauges(10*time.Second, 0.1, 0)
+	if h.ctl.pool > most {
+		t.Errorf("nobody uses it, and the pool is %v", h.ctl.pool)
+	}
+	for id := uint64(1); id <= 8; id++ {
+		h.at(0, h.ask(id, 0))
+		h.at(0, Event{Kind: EventBlocked, Request: id})
+	}
+	if h.gauges(time.Second, 0.1, 0); !(h.ctl.pool > most) {
+		t.Errorf("eight are at calls, and the pool is %v", h.ctl.pool)
+	}
+}
+
 // What waits behind others until there is no hope could have gone to a server with room, had it been told at once.
 func TestNoHopeBehindOthersIsToldAtOnce(t *testing.T) {
 	for waiting, want := range map[int]ActionKind{0: ActionKeep, 12: ActionRefuse} {
