Only the runners that need it are of a build with faults, on the harness

Now the plain program runs, but for the runners whose disks hang or whose clocks are wrong; design-peers.md says so.

--- a/cmd/ryelab/up.go
+++ b/cmd/ryelab/up.go
@@ -137,7 +137,7 @@
 		return "", nil, err
 	}
 	bin = filepath.Join(dir, "ryepaddle")
-	if out, err := exec.CommandContext(l.ctx, "go", "build", "-tags", "faults", "-o", bin, "shalesail/cmd/ryepaddle").CombinedOutput(); err != nil {
+	if out, err := exec.CommandContext(l.ctx, "go", "build", "-o", bin, "shalesail/cmd/ryepaddle").CombinedOutput(); err != nil {
 		os.RemoveAll(dir)
 		return "", nil, badInput{fmt.Errorf("no --bin, and the program cannot be built here: %w\n%s", err, out)}
 	}
--- a/internal/standin/cluster/cluster_test.go
+++ b/internal/standin/cluster/cluster_test.go
@@ -16,17 +16,19 @@
 	"shalesail/internal/standin/judge"
 )
 
-var bin string
+var bin, faulty string // the program, and one whose disk can hang and whose clock can be wrong
 
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "cluster")
 	if err != nil {
 		panic(err)
 	}
-	bin = filepath.Join(dir, "ryepaddle")
-	if out, err := exec.Command("go", "build", "-race", "-tags", "faults", "-o", bin, "shalesail/cmd/ryepaddle").CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
-		os.Exit(1)
+	bin, faulty = filepath.Join(dir, "ryepaddle"), filepath.Join(dir, "faulty")
+	for path, tags := range map[string]string{bin: "", faulty: "faults"} {
+		if out, err := exec.Command("go", "build", "-race", "-tags", tags, "-o", path, "shalesail/cmd/ryepaddle").CombinedOutput(); err != nil {
+			fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+			os.Exit(1)
+		}
 	}
 	flag.Parse()
 	if err := flag.Set("test.parallel", "12"); err != nil { // they wait for most of their time
--- a/internal/standin/cluster/hard_test.go
+++ b/internal/standin/cluster/hard_test.go
@@ -46,7 +46,7 @@
 // does, and are lost with it in the middle.
 func TestFullAndHangingDisks(t *testing.T) {
 	t.Parallel()
-	c := start(t, Options{Runners: 4, Halls: 2, Servers: 2, Window: shortWindow, Copies: 1})
+	c := start(t, Options{Runners: 4, Halls: 2, Servers: 2, Window: shortWindow, Copies: 1, Bins: map[string]string{"n3": faulty, "n4": faulty}})
 	for _, err := range []error{c.Ready(20 * time.Second), c.Taking(30 * time.Second)} {
 		if err != nil {
 			t.Fatal(err)
@@ -71,7 +71,7 @@
 func TestClocksApart(t *testing.T) {
 	t.Parallel()
 	c := start(t, Options{Runners: 4, Halls: 2, Servers: 2, Window: shortWindow, Copies: 1,
-		Clocks: map[string]time.Duration{"n2": 7 * time.Minute, "n3": -5 * time.Minute}})
+		Bins: map[string]string{"n2": faulty, "n3": faulty}, Clocks: map[string]time.Duration{"n2": 7 * time.Minute, "n3": -5 * time.Minute}})
 	for _, err := range []error{c.Ready(20 * time.Second), c.Taking(30 * time.Second)} {
 		if err != nil {
 			t.Fatal(err)
