--- a/controller.go
+++ b/controller.go
@@ -135,7 +135,7 @@
 	callMost, callLimit                float64 // calls that may be in hand, as a mean and now
 	callTime, callStock                float64 // seconds for which they may, and the most saved up
 	calls, callMean                    float64 // calls that ended, and the seconds that one takes of late
-	callLong, callVar, callBest        float64 // over longer, how calls differ, and the lowest it may have been
+	callLong, callVar, callBest        float64 // over longer, its spread, and the lowest it may be
 	memoryKB                           float64
 	out                                []Action
 }
