--- a/controller.go
+++ b/controller.go
@@ -362,8 +362,8 @@
 	return time.Duration(min(took, 1e6) * float64(time.Second))
 }
 
-// wait is how long those that are held beside r take to start, as runs end. To find out by waiting that there is no hope
-// would keep a request from others that have room.
+// wait is how long those that are held beside r take to start, as runs end. To find out by waiting that there
+// is no hope would keep a request from others that have room.
 func (c *Controller) wait(r *request) time.Duration {
 	work := -c.holds[r.class].mean // it is held itself
 	for i := range c.holds {
@@ -372,7 +372,7 @@
 	return time.Duration(work / float64(max(c.onCores+c.atCalls, c.set.Cores)) * float64(time.Second))
 }
 
-// hopeless reports that r, if it waits for so long, cannot be answered in the time in which its answer has worth.
+// hopeless reports that r, if it waits for so long, cannot be answered while its answer has worth.
 func (c *Controller) hopeless(r *request, wait time.Duration) bool {
 	if !c.full(r.class) { // a guess must not turn work away where there is room for it
 		return r.due <= c.now+guardTime
@@ -852,8 +852,8 @@
 	if took := e.Elapsed.Seconds(); !proven && e.Outcome != Broken {
 		c.calls++
 		c.callMean += max(learn, 1/c.calls) * (took - c.callMean)
-		// Forgotten by time, the best of many short calls is that of a lucky few, and the usual looks slow. So it
-		// does beside the best of any few: it is taken as high as it may be in truth, by how calls differ.
+		// Forgotten by time, the best of many short calls is that of a lucky few, and the usual looks slow. Beside
+		// the best of any few it does, too: it is taken as high as it may be in truth, by how calls differ.
 		w := max(callLearn, 1/c.calls)
 		c.callLong += w * (took - c.callLong)
 		c.callVar += w * ((took-c.callLong)*(took-c.callLong) - c.callVar)
@@ -978,7 +978,7 @@
 		}
 		c.pool = max(c.pool*max(1-c.fig.Beta*worst, c.fig.CutFloor), least)
 	} else {
-		// Nor beyond twice what it was good for: credit that nobody used would all be drawn at once as load comes.
+		// Nor beyond twice its use: credit that nobody used would all be drawn at once as load comes.
 		use := float64(c.onCores + c.atCalls + c.set.Cores)
 		c.pool = min(c.pool+max(c.fig.Alpha*float64(max(c.heardN, 1)), 1), c.crowd(), max(c.pool, 2*use))
 	}
