--- a/controller.go
+++ b/controller.go
@@ -852,8 +852,8 @@
 	if took := e.Elapsed.Seconds(); !proven && e.Outcome != Broken {
 		c.calls++
 		c.callMean += max(learn, 1/c.calls) * (took - c.callMean)
-		// Forgotten by time, the best of many short calls is that of a lucky few, and the usual looks slow. It
-		// does beside the best of any few, too: it is taken as high as it may be, by how calls differ.
+		// Forgotten by time, the best of many short calls is that of a lucky few, and the usual looks slow.
+		// So it does beside the best of any few: it is taken as high as it may be, by how calls differ.
 		w := max(callLearn, 1/c.calls)
 		c.callLong += w * (took - c.callLong)
 		c.callVar += w * ((took-c.callLong)*(took-c.callLong) - c.callVar)
