--- a/controller.go
+++ b/controller.go
@@ -16,9 +16,10 @@
 // ours) and reason. The bounds stand in figures.go.
 var standardFigures = Figures{
 	Alpha:       0.001, // credits per caller and period; paper: additive growth, at least 1
-	Beta:        0.5,   // of the excess; paper: 0.02 each network round trip, but a period is far longer
+	Beta:        0.1,   // of the excess; paper: 0.02 a round trip; many cuts pass before callers hear of one
 	CutFloor:    0.5,   // of the pool; paper: no cut takes more than half
 	TargetShare: 0.4,   // of the aim left beside the run; paper: 40% of the objective
+	TargetLeast: 0.16,  // the same while nothing is turned away: others have room, an early cut leads there
 	RefuseAt:    2.0,   // delay targets; paper: refusal past it
 	BusyCPU:     0.9,   // cpu gauge; design page: cut and refuse only above it
 	PoolFloor:   1.0,   // credits: a trickle that shows when a server has recovered
@@ -68,6 +69,7 @@
 	heardSlots   = int(heardFor/period) + 1
 	quotaBurst   = 2 * time.Second        // of a tenant's rate that may come at once and be in its share
 	returnShare  = 0.5                    // of arrivals: with fewer returning in time, keep short
+	turnedAll    = 0.5                    // of arrivals: with so many turned away no other server has room
 	idleKeep     = 5 * time.Second        // idle connections take cores; as much by then as a new one
 	idleShort    = 200 * time.Millisecond // where callers seldom return in time for that
 )
@@ -128,7 +130,7 @@
 	born, now, periodAt, trimmed       time.Duration
 	drainAt, stopAt, paidAt            time.Duration
 	pool, said                         float64
-	returns, further                   float64 // shares of arrivals: caller heard of late, further tries
+	returns, further, turned           float64 // shares of arrivals: caller heard, further tries, refused
 	unread, readNow, readAll           float64 // mean unread wait in ns; arrivals of late and in all
 	cpu, load                          float64 // last gauges; load is kept up to date between timers
 	onCores, atCalls, inHand, sharing  int     // sharing: reads that are being answered from another's result
@@ -206,9 +208,8 @@
 }
 
 func (c *Controller) begin() {
-	c.begun, c.born, c.periodAt = true, c.now, c.now
+	c.begun, c.born, c.periodAt, c.returns = true, c.now, c.now, 1
 	c.act(Action{Kind: ActionHealth, Stored: true, Good: true})
-	c.returns = 1
 	c.trim(1)
 	c.advertise()
 	c.act(Action{Kind: ActionTimer, For: tick})
@@ -307,9 +308,8 @@
 // admit refuses an arrival past twice the delay target, without hope, or past a tenant's share under load.
 func (c *Controller) admit(r *request, e *Event) {
 	class := &c.set.Classes[r.class]
-	delay, target := c.delay(r.class), c.target(r.class)
-	delay = max(delay, c.now-r.arrived)
-	c.further *= 1 - furtherLearn
+	delay, target := max(c.delay(r.class), c.now-r.arrived), c.target(r.class)
+	c.further, c.turned = c.further*(1-furtherLearn), c.turned*(1-furtherLearn)
 	if r.walked {
 		c.further += furtherLearn
 	}
@@ -349,7 +349,8 @@
 func (c *Controller) target(class int) time.Duration {
 	aim := c.set.Classes[class].Target
 	run := time.Duration(c.holds[class].mean * float64(time.Second))
-	return time.Duration(c.fig.TargetShare * float64(max(aim-run, aim/4)))
+	share := c.fig.TargetLeast + (c.fig.TargetShare-c.fig.TargetLeast)*min(c.turned/turnedAll, 1)
+	return time.Duration(share * float64(max(aim-run, aim/4)))
 }
 
 // expected is how long r would run, from the runs of its class.
@@ -388,6 +389,11 @@
 	return c.now+wait+time.Duration(run) > end
 }
 
+// spent reports that r, hopeless here, is so elsewhere: others are full too, or little time is left.
+func (c *Controller) spent(r *request) bool {
+	return c.turned > c.fig.FewShare || r.aim < c.now+c.expected(r)
+}
+
 // quota is a tenant's part of this server, in requests a second.
 func (c *Controller) quota(tenant int) float64 {
 	return c.set.Tenants[tenant].QuotaRate / float64(max(c.set.Servers, 1))
@@ -494,7 +500,7 @@
 		c.fail(r, w)
 		return
 	}
-	away = max(away, tick) // a client is told when to come back, not kept waiting
+	c.turned, away = c.turned+furtherLearn, max(away, tick) // a client is told when to come back
 	w.Kind, w.For, w.Last = ActionRefuse, min(away, c.set.MaxStayAway), last
 	c.answer(r, w)
 }
@@ -529,7 +535,7 @@
 			return
 		}
 		if c.hopeless(r, 0) {
-			c.refuse(r, 0, true, why(CauseHopeless, 0, 0))
+			c.refuse(r, 0, c.spent(r), why(CauseHopeless, 0, 0))
 			continue
 		}
 		if !c.room() || !c.start(r) {
@@ -567,8 +573,7 @@
 func (c *Controller) crowd() float64 {
 	share := 1.0
 	if c.set.Cold && c.set.ColdFor > 0 {
-		warm := float64(c.now-c.born) / float64(c.set.ColdFor)
-		share = min(c.set.ColdShare+(1-c.set.ColdShare)*warm, 1)
+		share = min(c.set.ColdShare+(1-c.set.ColdShare)*float64(c.now-c.born)/float64(c.set.ColdFor), 1)
 	}
 	return max(float64(c.set.Cores)*(1+(c.set.CrowdLimit-1)*share)*c.fig.CrowdShare, 1)
 }
@@ -623,18 +628,17 @@
 func (c *Controller) keep(r *request) {
 	class := &c.set.Classes[r.class]
 	scarce := c.memoryKB+c.set.KeyKB > c.fig.MemoryShare*c.set.MemoryKB
-	switch {
-	case class.Effect == Keyed && scarce:
+	if class.Effect == Keyed && scarce {
 		c.refuse(r, 0, false, why(CauseKeys, c.memoryKB, c.fig.MemoryShare*c.set.MemoryKB))
-	case class.Effect == Keyed:
+	} else if class.Effect == Keyed || r.read && !scarce {
 		r.kept = true
 		c.memoryKB += c.set.KeyKB
-		c.forgetAt(r, c.now+class.Window)
-		c.act(Action{Kind: ActionKeep, Request: r.id, For: class.Window})
-	case r.read && !scarce:
-		r.kept = true
-		c.memoryKB += c.set.KeyKB
-		c.act(Action{Kind: ActionKeep, Request: r.id, For: r.due - c.now + c.set.FreshFor})
+		last := r.due - c.now + c.set.FreshFor
+		if class.Effect == Keyed {
+			last = class.Window
+			c.forgetAt(r, c.now+last)
+		}
+		c.act(Action{Kind: ActionKeep, Request: r.id, For: last})
 	}
 }
 
@@ -692,8 +696,7 @@
 	if h.mean == 0 {
 		h.mean, h.hint = took, r.hint.Seconds()
 	}
-	h.mean += learn * (took - h.mean)
-	h.hint += learn * (r.hint.Seconds() - h.hint)
+	h.mean, h.hint = h.mean+learn*(took-h.mean), h.hint+learn*(r.hint.Seconds()-h.hint)
 }
 
 // trim closes idle connections soon where callers return too late to use them: else a crowd fills the table.
@@ -719,12 +722,11 @@
 	if c.calls < callFew {
 		return
 	}
+	next := c.callLimit + 1 - c.fig.CallCut
 	if c.callMean > c.fig.CallSlow*c.callBest {
-		c.callLimit *= c.fig.CallCut
-	} else {
-		c.callLimit += 1 - c.fig.CallCut
+		next = c.callLimit * c.fig.CallCut
 	}
-	c.callLimit = max(min(c.callLimit, c.callMost), c.fig.CallSlots*c.set.CallsOut, 1)
+	c.callLimit = max(min(next, c.callMost), c.fig.CallSlots*c.set.CallsOut, 1)
 }
 
 // mayCall reports whether one more call may be placed: by their number, and by the time for which calls
@@ -740,8 +742,7 @@
 // payCalls keeps the time for which calls may be in hand: the share over time, less those that are.
 func (c *Controller) payCalls() {
 	n := float64(c.inHand + len(c.lingering))
-	c.callTime += (c.callMost - n) * (c.now - c.paidAt).Seconds()
-	c.callTime, c.paidAt = min(c.callTime, c.callStock), c.now
+	c.callTime, c.paidAt = min(c.callTime+(c.callMost-n)*(c.now-c.paidAt).Seconds(), c.callStock), c.now
 	for len(c.lingering) > 0 && c.lingering[0] <= c.now {
 		c.lingering = c.lingering[1:]
 	}
@@ -921,7 +922,7 @@
 	for i := range c.holds {
 		for _, r := range slices.Clone(c.holds[i].line) {
 			if r.due <= c.now+guardTime || c.hopeless(r, 0) {
-				c.refuse(r, 0, true, why(CauseHopeless, 0, 0))
+				c.refuse(r, 0, c.spent(r), why(CauseHopeless, 0, 0))
 			}
 		}
 	}
--- a/controller_test.go
+++ b/controller_test.go
@@ -532,6 +532,39 @@
 	}
 }
 
+// A slow server kept requests until there was no hope, and asked that they be tried nowhere else while fast ones were idle. Where much is
+// turned away others are full too, and a further try only costs them the reading.
+func TestNoHopeHereMayGoElsewhere(t *testing.T) {
+	for name, c := range map[string]struct {
+		turned float64
+		after  time.Duration // of an aim of 2 s, at a server that takes 1 s
+		last   bool
+	}{"time for a usual run elsewhere": {0, 700 * ms, false}, "too little time left": {0, 1600 * ms, true}, "all turn away": {0.3, 700 * ms, true}} {
+		h := newHand(t, func(s *Settings) {
+			s.Cores, s.Halt, s.Classes[2].Target, s.Classes[2].Deadline, s.Classes[2].LateWorth = 1, HaltNone, 2*time.Second, 5*time.Second, 0
+		})
+		h.at(0, h.ask(1, 2))
+		h.at(time.Second, Event{Kind: EventDone, Request: 1, Outcome: OK})
+		h.at(0, h.ask(2, 2), h.ask(3, 2)) // one runs
+		h.ctl.turned = c.turned
+		if a := h.want(h.at(c.after, timerEvent(1, 1)), ActionRefuse, 3); a.Cause != CauseHopeless || a.Last != c.last {
+			t.Errorf("%s: %+v", name, a)
+		}
+	}
+}
+
+// A line that is cut short leads requests to servers with room; where all turn away it only adds reads.
+func TestTargetEasesAsMoreIsTurnedAway(t *testing.T) {
+	h := newHand(t, func(s *Settings) { s.Classes[2].Target = 2 * time.Second })
+	least := h.ctl.target(2)
+	h.ctl.turned = turnedAll / 2
+	half := h.ctl.target(2)
+	h.ctl.turned = 1
+	if whole := h.ctl.target(2); whole != 800*ms || least != 320*ms || !(least < half && half < whole) {
+		t.Errorf("targets %v, %v, %v", least, half, whole)
+	}
+}
+
 // A server that alone reads too late leaves the list and comes back; where further tries tell that others are
 // no better off, it stays.
 func TestServerThatReadsTooLateLeavesTheList(t *testing.T) {
--- a/figures.go
+++ b/figures.go
@@ -9,6 +9,7 @@
 	Beta        float64
 	CutFloor    float64
 	TargetShare float64
+	TargetLeast float64
 	RefuseAt    float64
 	BusyCPU     float64
 	PoolFloor   float64
@@ -46,6 +47,7 @@
 		{"beta", &f.Beta, 0, 10},
 		{"cut_floor", &f.CutFloor, 0, 1},
 		{"target_share", &f.TargetShare, 0.01, 1},
+		{"target_least", &f.TargetLeast, 0.01, 1},
 		{"refuse_at", &f.RefuseAt, 0.1, 100},
 		{"busy_cpu", &f.BusyCPU, 0, 2},
 		{"pool_floor", &f.PoolFloor, 0, 1000},
