Duties decided: one holder, tokens that only grow, leases, checkpoints, fences; council mended

The way not taken: a renewal as an entry of the log each 100 ms, which costs a write of each voter's disk.

--- a/internal/peers/council/council.go
+++ b/internal/peers/council/council.go
@@ -4,6 +4,7 @@
 package council
 
 import (
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"slices"
@@ -11,8 +12,10 @@
 	"github.com/fxamacker/cbor/v2"
 	"go.etcd.io/raft/v3"
 	"go.etcd.io/raft/v3/raftpb"
+	"go.etcd.io/raft/v3/tracker"
 	"google.golang.org/protobuf/proto"
 
+	"shalesail/internal/peers/duty"
 	"shalesail/internal/peers/plan"
 )
 
@@ -55,6 +58,8 @@
 	Blank   uint64        `cbor:"11,keyasint,omitempty"` // Here: of a voter that has just started, the number that it asks for; Heard: it has it
 	Rests   bool          `cbor:"12,keyasint,omitempty"` // Here: its disk has something
 	Answer  bool          `cbor:"13,keyasint,omitempty"` // Here: to another one's, which is not answered again
+	Number  uint64        `cbor:"15,keyasint,omitempty"` // Here: under which this voter votes; Heard: nobody does under that one
+	Asked   int64         `cbor:"14,keyasint,omitempty"` // Here: by the clock that duties go by; Heard gives it back once the council has confirmed its leader
 }
 
 // Kept is what has to be on the disk before the messages that came with it go out. Its parts are the library's, in its own form.
@@ -72,6 +77,9 @@
 	Known  []string // who is in the file; empty: it says nothing of that
 	Slots  int
 	Copies int
+	Duties duty.Rules
+	Born   uint64       // Unix seconds when this process began
+	Clock  func() int64 // that duties go by, which also counts the time for which the machine was suspended; nil: there are none
 }
 
 // Council is one runner's part in it.
@@ -97,12 +105,33 @@
 	way     map[string]int64 // changes under way, and since when
 	conf    *raftpb.ConfState
 	raftID  uint64
+	turns   int              // how often this process had to ask for another number
 	renew   bool             // a snapshot is due for other voters
 	first   bool             // its number is not on the disk yet
 	seed    *raftpb.Snapshot // of one that began with nothing: what it began with
 	rested  bool             // it went on from its disk
 	blank   uint64           // of a voter that has just started: the number that it asks for; 0: it votes
 	blanks  map[string]bool  // the other voters that have just started: whether their disks have something
+
+	duties  *duty.Granter
+	freed   bool             // a duty was given back
+	snaps   map[uint64]int64 // since when voters wait for a snapshot
+	lost    []uint64         // of those, whose snapshot may be lost
+	fresh   map[string]newcomer
+	asked   map[string]asker // when each runner said last that it is there, by its own clock
+	asks    []asker          // of those that hold duties, since the council was asked last whether it goes by this leader
+	reads   []asker          // those that it was asked for
+	readNo  uint64
+	readAt  int64
+	readTo  uint64 // the library confirmed it, for the table that this entry leads to; 0: not yet
+	confirm func(asked int64, version uint64)
+}
+
+// asker is a runner that said it was there.
+type asker struct {
+	name  string
+	life  uint64
+	asked int64
 }
 
 // New begins. A voter that starts does not vote, whatever its disk has: the disk may be empty, or an old one that was put back, and it would
@@ -110,7 +139,11 @@
 // agree on nothing, do those with something on their disks go on from that; and if all have nothing they begin as the file has them.
 func New(cfg Config, me plan.Member, disk []Kept, now int64) (*Council, error) {
 	me.Knows = plan.Newest
-	c := &Council{cfg: cfg, me: me, now: now, ticked: now, heard: now - Lease - 1, last: map[string]int64{}, way: map[string]int64{}, blanks: map[string]bool{}}
+	c := &Council{cfg: cfg, me: me, now: now, ticked: now, heard: now - Lease - 1, last: map[string]int64{}, way: map[string]int64{}, blanks: map[string]bool{},
+		duties: duty.NewGranter(cfg.Duties, cfg.Born), asked: map[string]asker{}, snaps: map[uint64]int64{}, fresh: map[string]newcomer{}, confirm: func(int64, uint64) {}}
+	if c.me.Duties = cfg.Duties.Names(cfg.Name); cfg.Clock == nil {
+		c.cfg.Clock = func() int64 { return 0 }
+	}
 	var err error
 	if c.table, err = plan.New(cfg.Slots, cfg.Copies); err != nil {
 		return nil, err
@@ -263,12 +296,25 @@
 // HeardAt is when the newest word that the leader answered was sent: the council was heard since then.
 func (c *Council) HeardAt() int64 { return c.heard }
 
+// Votes tells whether this runner has a vote now: a voter that has just started has none before the others gave it one.
+func (c *Council) Votes() bool { return c.node != nil }
+
 // Leads tells whether this runner is the council's leader.
 func (c *Council) Leads() bool { return c.leads }
 
 // Renew is another life of this runner's membership.
 func (c *Council) Renew(life uint64) { c.me.Life = life }
 
+// OnConfirm names who hears that the council went by its leader after this runner asked, and of which table the leader knew then.
+func (c *Council) OnConfirm(fn func(asked int64, version uint64)) { c.confirm = fn }
+
+// SetDuties takes the rules of another file.
+func (c *Council) SetDuties(r duty.Rules) {
+	c.cfg.Duties = r
+	c.me.Duties = r.Names(c.cfg.Name)
+	c.duties.SetRules(r)
+}
+
 // SetKnown takes another list of who is in the file.
 func (c *Council) SetKnown(names []string) { c.cfg.Known = names }
 
@@ -310,7 +356,11 @@
 
 // Out gives what is to be sent, and what has to be on the disk before that, if anything.
 func (c *Council) Out() ([]Message, *Kept, error) {
+	if c.node != nil {
+		c.read()
+	}
 	kept, err := c.ready()
+	c.confirmed()
 	out := c.out
 	c.out = nil
 	return out, kept, err
@@ -353,13 +403,13 @@
 	if c.blank != 0 {
 		for _, v := range c.cfg.Voters {
 			if v != c.cfg.Name {
-				c.send(Message{Kind: Here, To: v, Member: c.me, Blank: c.blank, Rests: c.raftID != 0, Sent: c.now})
+				c.send(Message{Kind: Here, To: v, Member: c.me, Blank: c.blank, Rests: c.raftID != 0, Sent: c.now, Asked: c.cfg.Clock()})
 			}
 		}
 		return
 	}
 	if c.leads {
-		c.here(Message{From: c.cfg.Name, Member: c.me, Version: c.table.Version, Sent: c.now})
+		c.here(Message{From: c.cfg.Name, Member: c.me, Version: c.table.Version, Sent: c.now, Asked: c.cfg.Clock()})
 		return
 	}
 	if c.now-c.heard > Lease { // whoever was asked does not answer
@@ -367,8 +417,16 @@
 		c.tries++
 	}
 	if c.leader != "" && c.leader != c.cfg.Name {
-		c.send(Message{Kind: Here, To: c.leader, Member: c.me, Version: c.table.Version, Sent: c.now})
+		c.send(Message{Kind: Here, To: c.leader, Member: c.me, Version: c.table.Version, Sent: c.now, Asked: c.cfg.Clock(), Number: c.number()})
+	}
+}
+
+// number is that under which this voter votes; 0: it has none.
+func (c *Council) number() uint64 {
+	if c.node == nil {
+		return 0
 	}
+	return c.raftID
 }
 
 // lead begins to lead, or ends it, and says who is lost.
@@ -377,13 +435,19 @@
 	if leads && !c.leads { // it knows nothing of who was heard until now
 		clear(c.last)
 		clear(c.way)
+		clear(c.asked)
+		clear(c.fresh)
+		c.duties.Begin()
 		for _, m := range c.table.Members {
 			c.last[m.Name] = c.now
 		}
 	}
 	if c.leads = leads; !leads {
+		c.asks, c.reads = nil, nil
+		clear(c.snaps)
 		return
 	}
+	c.resend()
 	var changes []plan.Change
 	for _, m := range c.table.Members {
 		at, ok := c.last[m.Name]
@@ -401,7 +465,67 @@
 			changes = append(changes, s)
 		}
 	}
-	c.propose(changes)
+	c.propose(append(changes, c.grants()...))
+}
+
+// resend has voters be told anew who wait for a snapshot that may have been lost on its way: the library sends them nothing until it is told so.
+func (c *Council) resend() {
+	c.node.WithProgress(func(id uint64, _ raft.ProgressType, pr tracker.Progress) {
+		switch at, ok := c.snaps[id]; {
+		case pr.State != tracker.StateSnapshot:
+			delete(c.snaps, id)
+		case !ok:
+			c.snaps[id] = c.now
+		case c.now-at > Suspect:
+			delete(c.snaps, id)
+			c.lost = append(c.lost, id)
+		}
+	})
+	for _, id := range c.lost { // not from within, where the library is in the middle of it
+		c.node.ReportSnapshot(id, raft.SnapshotFailure)
+	}
+	c.lost = c.lost[:0]
+}
+
+// grants are those of duties that nobody holds.
+func (c *Council) grants() []plan.Change {
+	if len(c.cfg.Duties.List) == 0 || !c.table.May(plan.Newest, c.cfg.Voters) {
+		return nil
+	}
+	return c.duties.Grants(c.table, c.now, func(name string) int64 {
+		if m, a := c.table.Member(name), c.asked[name]; m != nil && a.life == m.Life {
+			return a.asked
+		}
+		return 0
+	})
+}
+
+// read asks the other voters whether they still go by this leader, for those that hold duties and said that they are there.
+func (c *Council) read() {
+	if !c.leads || len(c.reads) > 0 && c.now-c.readAt < again || len(c.asks) == 0 && len(c.reads) == 0 {
+		return
+	}
+	c.reads = append(c.reads, c.asks...) // those whose question was lost are asked for again
+	c.asks = nil
+	c.readNo, c.readAt, c.readTo = c.readNo+1, c.now, 0
+	c.node.ReadIndex(binary.BigEndian.AppendUint64(nil, c.readNo))
+}
+
+// confirmed tells those that were asked for what this leader's table was.
+func (c *Council) confirmed() {
+	if c.readTo == 0 || c.applied < c.readTo {
+		return
+	}
+	for _, a := range c.reads {
+		switch m := c.table.Member(a.name); {
+		case m == nil || m.Life != a.life:
+		case a.name == c.cfg.Name:
+			c.confirm(a.asked, c.table.Version)
+		default:
+			c.send(Message{Kind: Heard, To: a.name, Asked: a.asked, Version: c.table.Version})
+		}
+	}
+	c.reads, c.readTo = nil, 0
 }
 
 // propose has changes agreed on, each once in a while.
@@ -464,6 +588,14 @@
 			_ = c.begin() // its figures are right
 			return
 		}
+		if m.Asked != 0 {
+			c.confirm(m.Asked, m.Version)
+			return
+		}
+		if m.Number != 0 {
+			c.dropped(m.Number)
+			return
+		}
 		if m.Version < c.table.Version { // it knows less than was agreed on: a council that began anew does not stand for the one before it
 			return
 		}
@@ -493,14 +625,30 @@
 		}
 		return
 	}
-	if m.Blank != 0 {
+	known := c.known(&m)
+	if m.Blank != 0 && known {
 		c.admit(&m)
 	}
+	// A word that came late, from the process before this one, may have taken its number from it.
+	if m.Number != 0 && c.place(m.From) == m.Number&0xff && !slices.Contains(c.conf.GetVoters(), m.Number) {
+		c.send(Message{Kind: Heard, To: m.From, Number: m.Number})
+		return
+	}
 	c.last[m.From] = c.now
-	if in := c.table.Member(m.From); in == nil || in.Life != m.Member.Life || in.Knows != m.Member.Knows || in.Bills != m.Member.Bills {
+	if m.Asked != 0 {
+		c.asked[m.From] = asker{m.From, m.Member.Life, m.Asked}
+		if c.table.Does(m.From) > 0 {
+			c.asks = append(slices.DeleteFunc(c.asks, func(a asker) bool { return a.name == m.From }), c.asked[m.From])
+		}
+	}
+	if in := c.table.Member(m.From); known && (in == nil || !in.Same(&m.Member)) {
 		// One that is out comes back in another life: by then it knows that it was lost.
 		if m.Member.Name == m.From && m.Member.Life != 0 && (in == nil || in.Life != 0 || m.Version >= c.table.Version) {
-			c.propose([]plan.Change{{Kind: plan.In, Member: m.Member}})
+			x := plan.Change{Kind: plan.Enter, Member: m.Member}
+			if !c.table.May(x.Kind, c.cfg.Voters) {
+				x.Kind = plan.In
+			}
+			c.propose([]plan.Change{x})
 		}
 	}
 	if m.From == c.cfg.Name {
@@ -514,6 +662,40 @@
 	c.send(answer)
 }
 
+// known tells whether a word is of the process that is in the table, or of one that takes its place: a single word of the process before may come
+// late, all the more so where this one was stopped and reads what waited for it. One that is there says so again before the other one does.
+func (c *Council) known(m *Message) bool {
+	in := c.table.Member(m.From)
+	if in == nil || in.Life == 0 || in.Process == m.Member.Process {
+		delete(c.fresh, m.From)
+		return true
+	}
+	if f, ok := c.fresh[m.From]; ok && f.what == m.Member.Process {
+		return c.now-f.at >= Beat/2
+	}
+	c.fresh[m.From] = newcomer{m.Member.Process, c.now}
+	return false
+}
+
+// newcomer is a process under a name whose place another one has, and when it was heard first.
+type newcomer struct {
+	what uint32
+	at   int64
+}
+
+// dropped has this voter ask for another number, if nobody votes under its own any more.
+func (c *Council) dropped(number uint64) {
+	if c.node == nil || c.raftID != number || c.turns == mostTurns {
+		return
+	}
+	c.turns++
+	c.node, c.leads, c.seed, c.rested = nil, false, nil, false
+	c.blank = uint64(c.turns)<<60 | c.me.Life<<8&(1<<60-1) | c.place(c.cfg.Name)
+}
+
+// mostTurns bounds how often a process asks for another number: each is one that it never had.
+const mostTurns = 15
+
 // admit gives a voter that lost its disk another number, in place of the one under which it may have voted.
 func (c *Council) admit(m *Message) {
 	if c.place(m.From) == 0 || m.Blank&0xff != c.place(m.From) {
@@ -568,6 +750,15 @@
 		for _, e := range rd.CommittedEntries {
 			c.apply(e)
 		}
+		if c.freed && c.leads { // who is next begins with the same round
+			c.freed = false
+			c.propose(c.grants())
+		}
+		for _, r := range rd.ReadStates {
+			if len(r.RequestCtx) == 8 && binary.BigEndian.Uint64(r.RequestCtx) == c.readNo {
+				c.readTo = r.Index
+			}
+		}
 		c.node.Advance(rd)
 	}
 	if err := c.compact(kept); err != nil {
@@ -633,7 +824,7 @@
 	}
 	t := c.table.Clone()
 	t.Apply(x)
-	c.table = t
+	c.table, c.freed = t, c.freed || x.Kind == plan.Yield
 }
 
 // compact cuts the log by a snapshot of the table.
--- /dev/null
+++ b/internal/peers/council/late_test.go
@@ -0,0 +1,93 @@
+package council
+
+import (
+	"testing"
+
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"shalesail/internal/peers/plan"
+)
+
+// A word of the process before came late, and took from the one that is there the number that it votes under: it was heard, and never learned of
+// a table again.
+func TestLateWordOfTheProcessBefore(t *testing.T) {
+	r := newRoom(t, 5, 3)
+	r.run(8000)
+	voter := r.voters[0]
+	if voter == r.leader() {
+		voter = r.voters[1]
+	}
+	late := Message{Kind: Here, From: voter, To: r.leader(), Member: plan.Member{Name: voter, Life: 900, Process: 900}, Blank: 900<<8 | r.all[voter].place(voter), Sent: 1}
+	r.start(voter)
+	r.run(4000)
+	r.all[r.leader()].Receive(&late, r.now)
+	r.run(100)
+	r.all[r.leader()].Receive(&late, r.now)
+	r.run(12_000)
+	if m := r.agreed().Member(voter); r.in() != 5 || !r.all[voter].Votes() || m.Process != r.all[voter].me.Process {
+		t.Errorf("%d are in; %s votes: %v; %+v", r.in(), voter, r.all[voter].Votes(), m)
+	}
+}
+
+// What a process said before it took another life came late, took it back to that one, and locked it out of the one that it was in.
+func TestLateWordBeforeAnotherLife(t *testing.T) {
+	r := newRoom(t, 4, 3)
+	r.run(8000)
+	name := r.names[3]
+	late := Message{Kind: Here, From: name, To: r.leader(), Member: r.all[name].me, Sent: 1}
+	for _, life := range []uint64{700, 701} {
+		r.all[name].Renew(life)
+		r.run(1000)
+	}
+	late.Member.Life = 700
+	r.all[r.leader()].Receive(&late, r.now)
+	late.Member.Life = 4 // two lives ago
+	r.all[r.leader()].Receive(&late, r.now)
+	r.run(2000)
+	if m := r.agreed().Member(name); m.Life != 701 {
+		t.Errorf("%+v", m)
+	}
+}
+
+// A snapshot that was lost on its way was not sent again, and its voter never learned of a table again.
+func TestLostSnapshot(t *testing.T) {
+	r := newRoom(t, 3, 3)
+	r.run(8000)
+	leader, voter := r.leader(), r.voters[0]
+	if voter == leader {
+		voter = r.voters[1]
+	}
+	r.away[voter] = true
+	r.run(3000)
+	c := r.all[leader]
+	c.renew = true // it cuts its log
+	c.Tell([]plan.Change{{Kind: plan.Stay, Member: plan.Member{Name: leader}}}, r.now)
+	r.run(1000)
+	r.away[voter] = false
+	lost := 0
+	for range 200 {
+		c.Tick(r.now)
+		out, _, err := c.Out()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range out {
+			x := &raftpb.Message{}
+			if m.Kind == Raft && m.To == voter && proto.Unmarshal(m.Raft, x) == nil && x.GetType() == raftpb.MsgSnap {
+				lost++
+				continue
+			}
+			r.all[m.To].Receive(&m, r.now)
+		}
+		if lost > 0 {
+			break
+		}
+		r.run(10)
+	}
+	if lost == 0 {
+		t.Fatal("no snapshot was sent")
+	}
+	r.run(8000)
+	r.agreed()
+}
--- /dev/null
+++ b/internal/peers/duty/duty_test.go
@@ -0,0 +1,187 @@
+package duty_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"shalesail/internal/fault"
+	"shalesail/internal/peers/duty"
+	"shalesail/internal/peers/plan"
+)
+
+// members is a table of runners that would take these duties, one in each hall.
+func members(t *testing.T, names ...string) *plan.Table {
+	t.Helper()
+	p, err := plan.New(1, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Apply(plan.Change{Kind: plan.Found, Token: 7})
+	for i, n := range names {
+		p.Apply(plan.Change{Kind: plan.In, Member: plan.Member{Name: n, Hall: "hall" + n[1:], Life: uint64(i + 1), Process: uint32(i + 1), Duties: []string{"a", "b", "c"}}})
+	}
+	return p
+}
+
+func asked(string) int64 { return 1000 }
+
+// grant has the table take what the granter wants, and tells who holds what.
+func grant(g *duty.Granter, p *plan.Table, now int64) map[string]string {
+	for _, c := range g.Grants(p, now, asked) {
+		p.Apply(c)
+	}
+	holders := map[string]string{}
+	for _, d := range p.Duties {
+		if d.Holder != "" {
+			holders[d.Name] = d.Holder
+		}
+	}
+	return holders
+}
+
+// Duties go to preferred halls, spread over members, within the bound for each, and to who may have them.
+func TestWhoGetsDuties(t *testing.T) {
+	for name, c := range map[string]struct {
+		rules duty.Rules
+		want  map[string]string
+	}{
+		"preferred halls": {duty.Rules{Each: 3, List: []duty.Rule{{Name: "a", Halls: []string{"hall9", "hall2"}}, {Name: "b", Halls: []string{"hall3"}}}}, map[string]string{"a": "n2", "b": "n3"}},
+		"who may":         {duty.Rules{Each: 3, List: []duty.Rule{{Name: "a", Members: []string{"n3"}}, {Name: "b", Members: []string{"n3"}}}}, map[string]string{"a": "n3", "b": "n3"}},
+		"the bound":       {duty.Rules{Each: 1, List: []duty.Rule{{Name: "a", Members: []string{"n3"}}, {Name: "b", Members: []string{"n3"}}}}, map[string]string{"a": "n3"}},
+		"nobody":          {duty.Rules{Each: 1, List: []duty.Rule{{Name: "z"}}}, map[string]string{}},
+	} {
+		p := members(t, "n1", "n2", "n3")
+		if diff := cmp.Diff(c.want, grant(duty.NewGranter(c.rules, 7), p, 0)); diff != "" {
+			t.Errorf("%s: %s", name, diff)
+		}
+	}
+	p := members(t, "n1", "n2", "n3")
+	held := grant(duty.NewGranter(duty.Rules{Each: 3, List: []duty.Rule{{Name: "a"}, {Name: "b"}, {Name: "c"}}}, 7), p, 0)
+	if p.Does("n1") != 1 || p.Does("n2") != 1 || p.Does("n3") != 1 {
+		t.Errorf("not spread: %v", held)
+	}
+}
+
+// Who loses a duty without giving it back waits longer each time; a name that is back in another life is not relied on before its lease is over.
+func TestPauses(t *testing.T) {
+	const again = 10_000_000
+	p := members(t, "n1")
+	g := duty.NewGranter(duty.Rules{Each: 1, Again: again, List: []duty.Rule{{Name: "a"}}}, 7)
+	now, life := int64(0), uint64(10)
+	grant(g, p, now)
+	for _, pause := range []int64{again, 2 * again, 4 * again} {
+		life++
+		p.Apply(plan.Change{Kind: plan.In, Member: plan.Member{Name: "n1", Hall: "hall1", Life: life, Process: uint32(life), Duties: []string{"a"}}})
+		if got := grant(g, p, now); len(got) > 0 {
+			t.Errorf("granted at once: %v", got)
+		}
+		if got := grant(g, p, now+pause-1); len(got) > 0 {
+			t.Errorf("granted before %d: %v", pause, got)
+		}
+		if now += pause; len(grant(g, p, now)) == 0 {
+			t.Errorf("not granted after %d", pause)
+		}
+	}
+	p = members(t, "n1", "n2")
+	g = duty.NewGranter(duty.Rules{Each: 1, List: []duty.Rule{{Name: "a", Halls: []string{"hall1"}}}}, 7)
+	grant(g, p, 0)
+	p.Apply(plan.Change{Kind: plan.In, Member: plan.Member{Name: "n1", Hall: "hall1", Life: 9, Process: 9, Duties: []string{"a"}}})
+	for now, want := range map[int64]int{0: 0, duty.Lease: 0, duty.Lease + duty.Margin: 1} {
+		q := p.Clone()
+		h := duty.NewGranter(duty.Rules{Each: 1, List: []duty.Rule{{Name: "a", Halls: []string{"hall1"}}}}, 7)
+		grant(h, q, 0)
+		if got := grant(h, q, now); len(got) != want {
+			t.Errorf("after %d us: %v", now, got)
+		}
+	}
+}
+
+// A holder believes for a lease from when it asked, goes by no word of a leader that knew a newer table, and does nothing once it gave back.
+func TestHolder(t *testing.T) {
+	p := members(t, "n1", "n2")
+	grant(duty.NewGranter(duty.Rules{Each: 1, List: []duty.Rule{{Name: "a", Members: []string{"n1"}}}}, 7), p, 0)
+	h := duty.NewHolder("n1", 1)
+	h.Table(p)
+	until := func(now int64) int64 {
+		if held := h.Held(now); len(held) == 1 {
+			return held[0].Until
+		}
+		return 0
+	}
+	if got, want := until(1000), int64(1000+duty.Lease-duty.Margin); got != want || until(want) != 0 {
+		t.Errorf("until %d, and %d is wanted and no longer", got, want)
+	}
+	h.Confirm(500_000, p.Version+1)
+	if got, want := until(1000), int64(1000+duty.Lease-duty.Margin); got != want {
+		t.Errorf("until %d by a word of a leader that knew more", got)
+	}
+	q := p.Clone()
+	q.Version++
+	h.Table(q)
+	if got, want := until(1000), int64(500_000+duty.Lease-duty.Margin); got != want {
+		t.Errorf("until %d, and %d is wanted once it knows as much", got, want)
+	}
+	told := []bool{}
+	done := func(ok bool) { told = append(told, ok) }
+	h.Note("a", []byte("1"), done)
+	late := h.Changes(0)
+	h.Note("a", []byte("2"), done)
+	for _, c := range append(h.Changes(0), late...) { // the first comes late
+		q.Apply(c)
+	}
+	h.Table(q)
+	if string(q.Duty("a").Check) != "2" {
+		t.Errorf("left is %q", q.Duty("a").Check)
+	}
+	h.Leave("a", []byte("3"), done)
+	if until(1000) != 0 {
+		t.Error("it goes on with what it gave back")
+	}
+	for _, c := range h.Changes(0) {
+		q.Apply(c)
+	}
+	h.Table(q)
+	h.Note("a", []byte("4"), done)
+	if diff := cmp.Diff([]bool{false, true, true, false}, told); diff != "" || string(q.Duty("a").Check) != "3" || q.Duty("a").Holder != "" {
+		t.Errorf("%s; %+v", diff, q.Duty("a"))
+	}
+}
+
+// What is given back while its runner is held for lost is not taken for agreed on.
+func TestGivenBackTooLate(t *testing.T) {
+	p := members(t, "n1", "n2")
+	grant(duty.NewGranter(duty.Rules{Each: 1, List: []duty.Rule{{Name: "a", Members: []string{"n1"}}}}, 7), p, 0)
+	h := duty.NewHolder("n1", 1)
+	h.Table(p)
+	h.Leave("a", []byte("late"), func(ok bool) {
+		if ok {
+			t.Error("told as agreed on")
+		}
+	})
+	h.Renew(2)
+	if p.Apply(plan.Change{Kind: plan.Out, Member: plan.Member{Name: "n1", Life: 1}}); h.Says() {
+		h.Table(p)
+	}
+	if d := p.Duty("a"); d.Holder != "" || len(d.Lapses) != 1 || h.Says() {
+		t.Errorf("%+v, still says %v", d, h.Says())
+	}
+}
+
+func TestFence(t *testing.T) {
+	f := &duty.Fence{}
+	for _, c := range []struct {
+		duty  string
+		token uint64
+		ok    bool
+	}{{"a", 5, true}, {"a", 5, true}, {"b", 4, true}, {"a", 4, false}, {"a", 0, false}, {"a", 6, true}, {"a", 5, false}, {"c", 0, false}} {
+		if err := f.Take(c.duty, c.token); (err == nil) != c.ok || err != nil && fault.Of(err).Kind.Name != "peers.fenced" {
+			t.Errorf("%s under %d: %v", c.duty, c.token, err)
+		}
+	}
+	g := &duty.Fence{}
+	g.Restore(f.Seen())
+	if g.Take("a", 5) == nil {
+		t.Error("what was seen is forgotten")
+	}
+}
--- /dev/null
+++ b/internal/peers/plan/duty.go
@@ -0,0 +1,103 @@
+package plan
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Duty is something that one member does at a time for all.
+type Duty struct {
+	Name   string `cbor:"1,keyasint"`
+	Holder string `cbor:"2,keyasint,omitempty"` // empty: nobody
+	Life   uint64 `cbor:"3,keyasint,omitempty"` // of the holder's membership
+	Token  uint64 `cbor:"4,keyasint,omitempty"` // of the newest grant; it only grows, over all duties and councils
+	Check  []byte `cbor:"5,keyasint,omitempty"` // what the holder left for the next one
+	// Abrupt says that the holder's name is back in another life, so that the one before may still believe for as long as its lease lasts.
+	Abrupt bool    `cbor:"6,keyasint,omitempty"`
+	Lapses []Lapse `cbor:"7,keyasint,omitempty"` // who lost it without giving it back
+	Asked  int64   `cbor:"8,keyasint,omitempty"` // by the holder's own clock: it asked then, before it was granted; 0: it is not known
+	Seq    uint64  `cbor:"9,keyasint,omitempty"` // of the holder's changes that was the last
+}
+
+// Lapse is how often in a row a member lost a duty without giving it back.
+type Lapse struct {
+	Name  string `cbor:"1,keyasint"`
+	Times int    `cbor:"2,keyasint"`
+}
+
+// Bounds of what the table has of duties.
+const (
+	MostDuties = 64
+	MostCheck  = 16 << 10 // bytes that one holder leaves for the next
+	mostLapses = 16       // members that are remembered for a duty
+)
+
+// Duty is the one of that name; nil: nobody ever held it.
+func (t *Table) Duty(name string) *Duty {
+	i, ok := slices.BinarySearchFunc(t.Duties, name, func(d Duty, name string) int { return cmp.Compare(d.Name, name) })
+	if !ok {
+		return nil
+	}
+	return &t.Duties[i]
+}
+
+// Token is that of a grant in this table. A council that begins anew counts its changes anew, but was born later.
+func (t *Table) Token() uint64 { return t.Born<<32 | t.Version&(1<<32-1) }
+
+// duty takes a change of a duty. One by a member that does not hold it any more, or who knows less of it than the table, changes nothing.
+func (t *Table) duty(c Change, m *Member) {
+	d := t.Duty(c.Duty)
+	if c.Kind == Grant {
+		if m == nil || m.Life == 0 || m.Life != c.Member.Life || m.Leaving || t.Born == 0 {
+			return
+		}
+		if d == nil {
+			if c.Token != 0 || c.Duty == "" || len(t.Duties) >= MostDuties {
+				return
+			}
+			i, _ := slices.BinarySearchFunc(t.Duties, c.Duty, func(d Duty, name string) int { return cmp.Compare(d.Name, name) })
+			t.Duties = slices.Insert(t.Duties, i, Duty{Name: c.Duty})
+			d = &t.Duties[i]
+		}
+		if d.Holder != "" || d.Token != c.Token {
+			return
+		}
+		d.Holder, d.Life, d.Token, d.Abrupt, d.Asked, d.Seq = m.Name, m.Life, t.Token(), false, c.Asked, 0
+		return
+	}
+	if d == nil || d.Holder == "" || d.Holder != c.Member.Name || d.Token != c.Token || len(c.Check) > MostCheck || c.Epoch <= d.Seq {
+		return // a word that comes late does not take the place of a newer one
+	}
+	if d.Check, d.Seq = c.Check, c.Epoch; c.Kind == Yield {
+		d.Holder, d.Life = "", 0
+		d.Lapses = slices.DeleteFunc(slices.Clone(d.Lapses), func(l Lapse) bool { return l.Name == c.Member.Name })
+	}
+}
+
+// lapse takes all duties from a member that is lost, or whose name is back in another life.
+func (t *Table) lapse(name string, abrupt bool) {
+	for i := range t.Duties {
+		d := &t.Duties[i]
+		if d.Holder != name {
+			continue
+		}
+		d.Holder, d.Life, d.Abrupt = "", 0, abrupt
+		lapses, times := slices.Clone(d.Lapses), 1
+		if j := slices.IndexFunc(lapses, func(l Lapse) bool { return l.Name == name }); j >= 0 {
+			times += lapses[j].Times
+			lapses = slices.Delete(lapses, j, j+1)
+		}
+		lapses = append(lapses, Lapse{name, times})
+		d.Lapses = lapses[max(len(lapses)-mostLapses, 0):]
+	}
+}
+
+// Does is how many duties a member holds.
+func (t *Table) Does(name string) (n int) {
+	for i := range t.Duties {
+		if t.Duties[i].Holder == name {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/peers/plan/plan.go
+++ b/internal/peers/plan/plan.go
@@ -19,6 +19,13 @@
 	Leaving bool   `cbor:"6,keyasint,omitempty"` // its slots go to others
 	Knows   Kind   `cbor:"7,keyasint,omitempty"` // the newest kind of change that it knows
 	Bills   bool   `cbor:"8,keyasint,omitempty"` // it has a folder for accounts of usage, and knows those of others
+	// Duties are the names of those that it would take, in order.
+	Duties []string `cbor:"9,keyasint,omitempty"`
+}
+
+// Same tells whether two say the same of a runner, as the runner itself says it.
+func (m *Member) Same(o *Member) bool {
+	return m.Life == o.Life && m.Knows == o.Knows && m.Bills == o.Bills && slices.Equal(m.Duties, o.Duties)
 }
 
 // Slot is a part of the keys, and who holds it.
@@ -35,6 +42,8 @@
 	Copies  int      `cbor:"2,keyasint"` // beside the primary's
 	Members []Member `cbor:"3,keyasint,omitempty"`
 	Slots   []Slot   `cbor:"4,keyasint,omitempty"`
+	Born    uint64   `cbor:"5,keyasint,omitempty"` // Unix seconds, by the clock of whoever led the council when it began; 0: not said yet
+	Duties  []Duty   `cbor:"6,keyasint,omitempty"` // by name
 }
 
 // Kind is what a change says.
@@ -50,10 +59,15 @@
 	Lead                    // a member of a set is to be its primary
 	Leave                   // a member is to hold nothing any more
 	Stay                    // it is to stay after all
+	Found                   // when the council began, by a clock
+	Grant                   // a member is to hold a duty that nobody holds
+	Yield                   // its holder gives it back, with what the next one is to know
+	Note                    // its holder leaves what the next one is to know
+	Enter                   // as In; what a process said before it took another life does not take it back there
 )
 
 // Newest is the newest kind of change.
-const Newest = Stay
+const Newest = Enter
 
 const (
 	oldest = Lead // the newest that a member knows which does not say so
@@ -64,7 +78,11 @@
 	Kind   Kind   `cbor:"1,keyasint"`
 	Member Member `cbor:"2,keyasint"`
 	Slot   int    `cbor:"3,keyasint,omitempty"`
-	Epoch  uint64 `cbor:"4,keyasint,omitempty"`
+	Epoch  uint64 `cbor:"4,keyasint,omitempty"` // of a slot; Yield and Note: the number of the change, of those under its token
+	Duty   string `cbor:"5,keyasint,omitempty"`
+	Token  uint64 `cbor:"6,keyasint,omitempty"` // the newest that whoever says it knows of the duty; Found: Unix seconds
+	Check  []byte `cbor:"7,keyasint,omitempty"`
+	Asked  int64  `cbor:"8,keyasint,omitempty"` // Grant: by the member's own clock, when it said that it is there
 }
 
 // New is the table of an installation before anybody is in.
@@ -78,7 +96,7 @@
 // Clone is the same table, which may be changed by itself.
 func (t *Table) Clone() *Table {
 	c := *t
-	c.Members, c.Slots = slices.Clone(t.Members), slices.Clone(t.Slots)
+	c.Members, c.Slots, c.Duties = slices.Clone(t.Members), slices.Clone(t.Slots), slices.Clone(t.Duties)
 	for i := range c.Slots {
 		c.Slots[i].Set, c.Slots[i].Joining = slices.Clone(c.Slots[i].Set), slices.Clone(c.Slots[i].Joining)
 	}
@@ -124,18 +142,22 @@
 	t.Version++
 	m := t.Member(c.Member.Name)
 	switch c.Kind {
-	case In:
+	case In, Enter:
+		if c.Kind == Enter && m != nil && c.Member.Process != 0 && c.Member.Process == m.Process && c.Member.Life < max(m.Life, m.Gone) {
+			return
+		}
 		if m == nil {
 			i, _ := slices.BinarySearchFunc(t.Members, c.Member.Name, func(m Member, name string) int { return cmp.Compare(m.Name, name) })
 			t.Members = slices.Insert(t.Members, i, Member{Name: c.Member.Name})
 			m = &t.Members[i]
 		}
 		if m.Life == c.Member.Life && m.Life != 0 { // said again, as whoever agreed to it before may have known less of members
-			m.Knows, m.Bills = c.Member.Knows, c.Member.Bills
+			m.Knows, m.Bills, m.Duties = c.Member.Knows, c.Member.Bills, c.Member.Duties
 		}
 		if m.Life == c.Member.Life || c.Member.Life == 0 || c.Member.Life == m.Gone {
 			return
 		}
+		t.lapse(m.Name, m.Life != 0)
 		t.leave(m.Name) // what an earlier life held is forgotten
 		gone := m.Gone
 		if m.Life != 0 {
@@ -148,6 +170,7 @@
 		if m == nil || c.Kind == Out && m.Life != c.Member.Life {
 			return
 		}
+		t.lapse(m.Name, false)
 		t.leave(m.Name)
 		if m.Life != 0 {
 			m.Gone = m.Life
@@ -179,6 +202,12 @@
 		if m != nil {
 			m.Leaving = c.Kind == Leave
 		}
+	case Found:
+		if t.Born == 0 {
+			t.Born = c.Token
+		}
+	case Grant, Yield, Note:
+		t.duty(c, m)
 	}
 	t.fill()
 }
--- /dev/null
+++ b/internal/standin/vfleet/vfleet.go
@@ -0,0 +1,309 @@
+// Package vfleet is a number of runners in virtual time: processes that crash, stop and are suspended with their machine, clocks of their own that
+// run fast or slow, links that lose, delay, repeat and cut, and disks that are kept, old or empty when a process is back. What the processes do
+// is the test's. The same seed plays the same, as far as what it plays does.
+//
+// Times are microseconds of true time, which no process is told.
+package vfleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"shalesail/internal/lab/vtime"
+)
+
+// Spans of time.
+const (
+	Ms     = int64(1000)
+	Second = 1000 * Ms
+)
+
+// Options say what is played.
+type Options struct {
+	Runners int
+	Halls   int
+	Drift   float64                       // the most by which a clock is fast or slow: a part of one
+	Start   func(n *Node, disk any)       // a new process begins on what its disk has; nil: it is empty
+	Save    func(n *Node) any             // what the disk of a process has as it crashes
+	May     func(n *Node) bool            // whether a process may be lost now; nil: always
+	Tell    func(format string, a ...any) // of each fault; nil: nothing is told
+}
+
+// World is the fleet.
+type World struct {
+	*vtime.Sched
+	R     *rand.Rand
+	Nodes []*Node
+	Sent  int // messages
+	opt   Options
+	named map[string]*Node
+	cut   map[[2]string]int // from, to: how many faults cut it
+	lives uint64
+}
+
+// Node is one runner's machine, and its process if there is one.
+type Node struct {
+	Name, Hall string
+	World      *World
+	Up         bool
+	Life       uint64 // of the process; new with each
+	Holds      any    // what the test has of the process
+	stopped    int    // how many faults hold it
+	held       []func()
+	rate       float64
+	mono, boot int64 // what is added to the clocks
+	asleep     int64 // since when the machine is suspended; 0: it is not
+	slept      int64
+	disk, old  any
+	replaced   bool
+}
+
+// New is a fleet of which nothing runs before Begin.
+func New(seed uint64, opt Options) *World {
+	w := &World{Sched: vtime.New(), R: rand.New(rand.NewPCG(seed, 41)), opt: opt, named: map[string]*Node{}, cut: map[[2]string]int{}}
+	for i := range opt.Runners {
+		n := &Node{Name: fmt.Sprintf("n%d", i+1), Hall: fmt.Sprintf("hall%d", i%max(opt.Halls, 1)+1), World: w,
+			rate: 1 + opt.Drift*(2*w.R.Float64()-1), mono: w.Between(Second, 1000*Second), boot: w.Between(1000*Second, 5000*Second)}
+		w.Nodes = append(w.Nodes, n)
+		w.named[n.Name] = n
+	}
+	return w
+}
+
+// Begin starts all runners, on disks that are empty.
+func (w *World) Begin() {
+	for _, n := range w.Nodes {
+		n.start(nil)
+	}
+}
+
+// Between draws a number from a to below b.
+func (w *World) Between(a, b int64) int64 { return a + w.R.Int64N(b-a) }
+
+// Run plays for a while.
+func (w *World) Run(d int64) { w.RunUntil(w.Now() + d) }
+
+// Node is the one of that name; nil: there is none.
+func (w *World) Node(name string) *Node { return w.named[name] }
+
+func (w *World) tell(format string, a ...any) {
+	if w.opt.Tell != nil {
+		w.opt.Tell("%.3f "+format, append([]any{float64(w.Now()) / float64(Second)}, a...)...)
+	}
+}
+
+func (n *Node) start(disk any) {
+	n.World.lives++
+	n.Up, n.Life, n.stopped, n.held = true, n.World.lives, 0, nil
+	n.World.opt.Start(n, disk)
+}
+
+// Mono is the machine's clock that stands still while it is suspended.
+func (n *Node) Mono() int64 {
+	at := n.World.Now()
+	if n.asleep != 0 {
+		at = n.asleep
+	}
+	return n.mono + int64(float64(at-n.slept)*n.rate)
+}
+
+// Boot is the machine's clock that goes on while it is suspended.
+func (n *Node) Boot() int64 { return n.boot + int64(float64(n.World.Now())*n.rate) }
+
+// True is the true time of one by the machine's clock that goes on.
+func (n *Node) True(boot int64) int64 { return int64(float64(boot-n.boot) / n.rate) }
+
+// Do has the process do something: now, when it is let go on, or never if it ends before that.
+func (n *Node) Do(fn func()) {
+	switch {
+	case !n.Up:
+	case n.stopped > 0:
+		n.held = append(n.held, fn)
+	default:
+		fn()
+	}
+}
+
+// After has this process do something after a while.
+func (n *Node) After(d int64, fn func()) {
+	life := n.Life
+	n.World.After(d, func() {
+		if n.Life == life {
+			n.Do(fn)
+		}
+	})
+}
+
+// Every has this process do something again and again. What it misses while it is held it does once.
+func (n *Node) Every(d int64, fn func()) {
+	life, waits := n.Life, false
+	var tick func()
+	tick = func() {
+		if n.Life != life || !n.Up {
+			return
+		}
+		if !waits {
+			waits = true
+			n.Do(func() { waits = false; fn() })
+		}
+		n.World.After(d, tick)
+	}
+	n.World.After(n.World.Between(0, d), tick)
+}
+
+// Send takes something to another runner's process, as the link between them is.
+func (n *Node) Send(to string, fn func(*Node)) {
+	w := n.World
+	w.Sent++
+	way := [2]string{n.Name, to}
+	if n.replaced || w.cut[way] > 0 || w.R.IntN(300) == 0 {
+		return
+	}
+	times := 1
+	if w.R.IntN(150) == 0 {
+		times = 2
+	}
+	for range times {
+		d := w.Between(200, 4*Ms)
+		if w.R.IntN(100) == 0 {
+			d = w.Between(4*Ms, 500*Ms)
+		}
+		w.After(d, func() {
+			if to := w.named[to]; to != nil && w.cut[way] == 0 {
+				to.Do(func() { fn(to) })
+			}
+		})
+	}
+}
+
+// Stop holds the process for a while, as SIGSTOP does. What comes in waits.
+func (n *Node) Stop(d int64) { n.hold(d, false) }
+
+// Suspend holds the machine for a while: one of its clocks stands still.
+func (n *Node) Suspend(d int64) { n.hold(d, true) }
+
+func (n *Node) hold(d int64, asleep bool) {
+	if !n.Up || n.stopped > 0 {
+		return
+	}
+	life := n.Life
+	n.World.tell("%s is held for %d ms, suspended %v", n.Name, d/Ms, asleep)
+	if n.stopped++; asleep {
+		n.asleep = n.World.Now()
+	}
+	n.World.After(d, func() {
+		if asleep {
+			n.slept += n.World.Now() - n.asleep
+			n.asleep = 0
+		}
+		if n.Life != life || !n.Up {
+			return
+		}
+		n.stopped--
+		held := n.held
+		n.held = nil
+		for _, fn := range held {
+			n.Do(fn)
+		}
+	})
+}
+
+// Disk says what a process finds on its disk when it is back.
+type Disk int
+
+// Disks.
+const (
+	Whole Disk = iota // what was on it
+	Old               // what was on it at the crash before
+	Empty
+)
+
+// Crash ends the process. Another one begins after a while.
+func (n *Node) Crash(back int64, disk Disk) {
+	if !n.Up {
+		return
+	}
+	n.World.tell("%s crashes, back in %d ms with disk %d", n.Name, back/Ms, disk)
+	n.old, n.disk = n.disk, n.World.opt.Save(n)
+	n.Up, n.held = false, nil
+	n.World.After(back, func() {
+		n.start(map[Disk]any{Whole: n.disk, Old: n.old, Empty: nil}[disk])
+	})
+}
+
+// Replace has a process begin under the runner's name on an empty machine, while the one before lives on and is heard by nobody any more.
+func (n *Node) Replace() {
+	w := n.World
+	w.tell("%s is replaced by another machine", n.Name)
+	next := &Node{Name: n.Name, Hall: n.Hall, World: w, rate: n.rate, mono: w.Between(Second, 1000*Second), boot: w.Between(1000*Second, 5000*Second)}
+	n.replaced = true
+	w.named[n.Name] = next
+	w.Nodes[slices.Index(w.Nodes, n)] = next
+	next.start(nil)
+}
+
+// Cut cuts what goes from a to b for a while, or both ways.
+func (w *World) Cut(a, b string, d int64, both bool) {
+	if a == b {
+		return
+	}
+	if both {
+		w.Cut(b, a, d, false)
+	}
+	w.cut[[2]string{a, b}]++
+	w.After(d, func() { w.cut[[2]string{a, b}]-- })
+}
+
+// CutOff cuts a runner from all, or has it be heard by nobody.
+func (n *Node) CutOff(d int64, both bool) {
+	n.World.tell("%s is cut off for %d ms, both ways %v", n.Name, d/Ms, both)
+	for _, o := range n.World.Nodes {
+		n.World.Cut(n.Name, o.Name, d, both)
+	}
+}
+
+func (w *World) may(n *Node) bool { return w.opt.May == nil || w.opt.May(n) }
+
+// Fault does one that is drawn.
+func (w *World) Fault() {
+	n, o := w.Nodes[w.R.IntN(len(w.Nodes))], w.Nodes[w.R.IntN(len(w.Nodes))]
+	d := w.Between(20*Ms, 4*Second)
+	switch w.R.IntN(10) {
+	case 0, 1:
+		if w.may(n) {
+			n.Crash(w.Between(50*Ms, 3*Second), Disk(w.R.IntN(3)))
+		}
+	case 2:
+		n.Stop(d)
+	case 3:
+		n.Suspend(d)
+	case 4:
+		w.tell("%s and %s are cut for %d ms", n.Name, o.Name, d/Ms)
+		w.Cut(n.Name, o.Name, d, w.R.IntN(2) == 0)
+	case 5, 6:
+		n.CutOff(d, w.R.IntN(3) > 0)
+	case 7:
+		w.tell("%s is cut off for %d ms", n.Hall, d/Ms)
+		for _, a := range w.Nodes {
+			for _, b := range w.Nodes {
+				if a.Hall == n.Hall && b.Hall != n.Hall {
+					w.Cut(a.Name, b.Name, d, true)
+				}
+			}
+		}
+	case 8:
+		if n.Up && w.may(n) {
+			n.Replace()
+		}
+	case 9: // half of the fleet from the other one
+		w.tell("the fleet is cut in two for %d ms", d/Ms)
+		for i, a := range w.Nodes {
+			for _, b := range w.Nodes[:i] {
+				if a.Name[len(a.Name)-1]%2 != b.Name[len(b.Name)-1]%2 {
+					w.Cut(a.Name, b.Name, d, true)
+				}
+			}
+		}
+	}
+}
