--- a/internal/standin/cluster/hard_test.go
+++ b/internal/standin/cluster/hard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -14,18 +15,23 @@
 // These tests are played one after the other and before those that are played side by side: each keeps a core or two busy, and those
 // go by how soon runners hear of each other.
 
-// play hands in at all runners over a script and judges it: no key runs twice, and nothing that was served is lost.
-func play(t *testing.T, c *Cluster, text string) {
+// keeping is a number of runners with a copy of each key, once they take keys.
+func keeping(t *testing.T, opt Options) *Cluster {
+	t.Helper()
+	opt.Runners, opt.Halls, opt.Servers, opt.Window, opt.Copies = 4, 2, 2, shortWindow, 1
+	c := start(t, opt)
+	if err := errors.Join(c.Ready(60*time.Second), c.Taking(60*time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// judged hands in at all runners while something happens, and judges it: no key runs twice, and nothing that was served is lost.
+func judged(t *testing.T, c *Cluster, happens func() error) {
 	t.Helper()
 	l := &Load{Callers: 3, Roam: true, Again: 2, Within: shortWindow / 2}
 	l.Begin(c)
-	if err := c.Play(script(t, text), nil); err != nil {
-		t.Error(err)
-	}
-	if err := c.Repair(); err != nil {
-		t.Error(err)
-	}
-	if err := c.Ready(60 * time.Second); err != nil {
+	if err := happens(); err != nil {
 		t.Error(err)
 	}
 	l.Stop()
@@ -49,13 +55,8 @@
 // Disks that are full or hang, of a voter and of one that only holds copies, while they and others run: they say so, go on once the disk
 // does, and are lost with it in the middle.
 func TestFullAndHangingDisks(t *testing.T) {
-	c := start(t, Options{Runners: 4, Halls: 2, Servers: 2, Window: shortWindow, Copies: 1, Bins: map[string]string{"n3": faulty, "n4": faulty}})
-	for _, err := range []error{c.Ready(60 * time.Second), c.Taking(60 * time.Second)} {
-		if err != nil {
-			t.Fatal(err)
-		}
-	}
-	play(t, c, `
+	c := keeping(t, Options{Bins: map[string]string{"n3": faulty, "n4": faulty}})
+	faults := script(t, `
 		100ms full n2 3s
 		300ms kill n4 --wipe --back 200ms
 		3500ms hang n3 1s
@@ -64,6 +65,7 @@
 		5500ms hang n4 500ms
 		5700ms kill n1 --back 100ms
 		7s wait`)
+	judged(t, c, func() error { return errors.Join(c.Play(faults, nil), c.Repair(), c.Ready(60*time.Second)) })
 	logged(t, c.Nodes[1], "peers.disk_failed")
 	logged(t, c.Nodes[1], "peers.disk_back")
 	c.billed(t)
@@ -72,29 +74,16 @@
 // Clocks that are minutes apart: a key is remembered for its window by each runner's own clock, and machines are lost meanwhile. The bill is
 // not looked at: accounts tell uses apart by their times, and take those of clocks that are further apart than a window for several.
 func TestClocksApart(t *testing.T) {
-	c := start(t, Options{Runners: 4, Halls: 2, Servers: 2, Window: shortWindow, Copies: 1,
-		Bins: map[string]string{"n2": faulty, "n3": faulty}, Clocks: map[string]time.Duration{"n2": 7 * time.Minute, "n3": -5 * time.Minute}})
-	for _, err := range []error{c.Ready(60 * time.Second), c.Taking(60 * time.Second)} {
-		if err != nil {
-			t.Fatal(err)
+	c := keeping(t, Options{Bins: map[string]string{"n2": faulty, "n3": faulty}, Clocks: map[string]time.Duration{"n2": 7 * time.Minute, "n3": -5 * time.Minute}})
+	judged(t, c, func() error {
+		for _, n := range c.Nodes { // the next one goes once all copies are made: more than half of the voters at once would have nothing
+			time.Sleep(200 * time.Millisecond)
+			if err := errors.Join(c.Play(script(t, "0s kill "+n.Name+" --wipe --back 100ms"), nil), c.Ready(60*time.Second)); err != nil {
+				return err
+			}
 		}
-	}
-	l := &Load{Callers: 3, Roam: true, Again: 2, Within: shortWindow / 2}
-	l.Begin(c)
-	for _, n := range c.Nodes { // the next one goes once all copies are made: more than half of the voters at once would have nothing
-		time.Sleep(200 * time.Millisecond)
-		if err := errors.Join(c.Play(script(t, "0s kill "+n.Name+" --wipe --back 100ms"), nil), c.Ready(60*time.Second)); err != nil {
-			t.Fatal(err)
-		}
-	}
-	l.Stop()
-	t.Log(c)
-	if v := c.Judge(); len(v) > 0 {
-		t.Error(v)
-	}
-	if n := c.History.Count(); n[judge.Served] < 100 {
-		t.Errorf("that tells nothing: %v", c)
-	}
+		return nil
+	})
 }
 
 // before is the build that landed before this one: a fleet goes over to a new version one runner after the other, and back.
@@ -104,45 +93,33 @@
 func TestTwoVersions(t *testing.T) {
 	dir := t.TempDir()
 	old := filepath.Join(dir, "old")
-	build := exec.Command("sh", "-c", "mkdir src && git -C \"$0\" archive "+before+" | tar -x -C src && cd src && go build -o ../old ./cmd/ryepaddle", filepath.Join(root(t)))
+	if err := exec.Command("git", "-C", root(t), "cat-file", "-e", before).Run(); err != nil {
+		t.Skipf("the checkout does not have %s: %v", before, err)
+	}
+	build := exec.Command("sh", "-c", "mkdir src && git -C \"$0\" archive "+before+" | tar -x -C src && cd src && go build -o ../old ./cmd/ryepaddle", root(t))
 	build.Dir = dir
 	if out, err := build.CombinedOutput(); err != nil {
-		t.Skipf("the checkout does not have %s, or it cannot be built: %v\n%s", before, err, out)
+		t.Fatalf("%s cannot be built: %v\n%s", before, err, out)
 	}
 	bins := map[string]string{"n1": old, "n2": old, "n3": old, "n4": old}
-	c := start(t, Options{Runners: 4, Halls: 2, Servers: 2, Window: shortWindow, Copies: 1, Bins: bins})
-	for _, err := range []error{c.Ready(60 * time.Second), c.Taking(60 * time.Second)} {
-		if err != nil {
-			t.Fatal(err)
-		}
-	}
-	l := &Load{Callers: 3, Roam: true, Again: 2, Within: shortWindow / 2}
-	l.Begin(c)
-	for _, to := range []struct{ name, bin string }{{"n4", bin}, {"n1", bin}, {"n1", old}, {"n2", bin}} {
-		n, err := c.Node(to.name)
-		if err == nil {
-			err = n.Drain()
-		}
-		if err == nil {
-			bins[to.name] = to.bin
-			err = n.Start()
-		}
-		if err == nil {
-			err = c.Ready(60 * time.Second)
+	c := keeping(t, Options{Bins: bins})
+	judged(t, c, func() error {
+		for _, to := range []struct{ name, bin string }{{"n4", bin}, {"n1", bin}, {"n1", old}, {"n2", bin}} {
+			n, err := c.Node(to.name)
+			if err == nil {
+				err = n.Drain()
+			}
+			if err == nil {
+				bins[to.name] = to.bin
+				err = errors.Join(n.Start(), c.Ready(60*time.Second))
+			}
+			if err != nil {
+				return fmt.Errorf("%s: %w", to.name, err)
+			}
 		}
-		if err != nil {
-			t.Fatalf("%s: %v", to.name, err)
-		}
-	}
-	l.Stop()
-	t.Log(c)
-	if v := c.Judge(); len(v) > 0 {
-		t.Error(v)
-	}
+		return nil
+	})
 	c.billed(t)
-	if n := c.History.Count(); n[judge.Served] < 100 {
-		t.Errorf("that tells nothing: %v", c)
-	}
 }
 
 // root is the folder of the checkout.
