--- a/controller.go
+++ b/controller.go
@@ -19,7 +19,7 @@
 	Beta:        0.1,   // of the excess; paper: 0.02 a round trip; many cuts pass before callers hear of one
 	CutFloor:    0.5,   // of the pool; paper: no cut takes more than half
 	TargetShare: 0.4,   // of the aim left beside the run; paper: 40% of the objective
-	TargetLeast: 0.16,  // the same while nothing is turned away: others have room, an early cut leads there
+	TargetLeast: 0.3,   // the same while nothing is turned away: others have room, an early cut leads there
 	RefuseAt:    2.0,   // delay targets; paper: refusal past it
 	BusyCPU:     0.9,   // cpu gauge; design page: cut and refuse only above it
 	PoolFloor:   1.0,   // credits: a trickle that shows when a server has recovered
