Others count as full where calls stand in line; cuts as before; statements of lost runners by one

The lines: target and the refusal of what is hopeless went by what is turned away here alone; a caller that walks on, or comes early, meets the same dependency. Now others count as full then. Also: passing on the statements of lost runners may be a duty (peers.duties.statements): heirs give them to its holder alone.

--- a/controller.go
+++ b/controller.go
@@ -16,7 +16,7 @@
 // ours) and reason. The bounds stand in figures.go.
 var standardFigures = Figures{
 	Alpha:       0.001, // credits per caller and period; paper: additive growth, at least 1
-	Beta:        0.1,   // of the excess; paper: 0.02 a round trip; many cuts pass before callers hear of one
+	Beta:        0.5,   // of the excess; paper: 0.02 each network round trip, but a period is far longer
 	CutFloor:    0.5,   // of the pool; paper: no cut takes more than half
 	TargetShare: 0.4,   // of the aim left beside the run; paper: 40% of the objective
 	TargetLeast: 0.3,   // the same while nothing is turned away: others have room, an early cut leads there
@@ -130,7 +130,7 @@
 	born, now, periodAt, trimmed       time.Duration
 	drainAt, stopAt, paidAt            time.Duration
 	pool, said                         float64
-	returns, further, turned           float64 // shares of arrivals: caller heard, further tries, refused
+	returns, further, turned, crowded  float64 // shares: callers heard, further, refused; how full others are
 	unread, readNow, readAll           float64 // mean unread wait in ns; arrivals of late and in all
 	cpu, load                          float64 // last gauges; load is kept up to date between timers
 	onCores, atCalls, inHand, sharing  int     // sharing: reads that are being answered from another's result
@@ -349,7 +349,7 @@
 func (c *Controller) target(class int) time.Duration {
 	aim := c.set.Classes[class].Target
 	run := time.Duration(c.holds[class].mean * float64(time.Second))
-	share := c.fig.TargetLeast + (c.fig.TargetShare-c.fig.TargetLeast)*min(c.turned/turnedAll, 1)
+	share := c.fig.TargetLeast + (c.fig.TargetShare-c.fig.TargetLeast)*c.crowded
 	return time.Duration(share * float64(max(aim-run, aim/4)))
 }
 
@@ -389,9 +389,9 @@
 	return c.now+wait+time.Duration(run) > end
 }
 
-// spent reports that r, hopeless here, is so elsewhere: others are full too, or little time is left.
-func (c *Controller) spent(r *request) bool {
-	return c.turned > c.fig.FewShare || r.aim < c.now+c.expected(r)
+// lost reports that r, hopeless here, is so elsewhere: others are full too, or less than a run is left.
+func (c *Controller) lost(r *request) bool {
+	return c.crowded > c.fig.FewShare || r.aim < c.now+c.expected(r)
 }
 
 // quota is a tenant's part of this server, in requests a second.
@@ -535,7 +535,7 @@
 			return
 		}
 		if c.hopeless(r, 0) {
-			c.refuse(r, 0, c.spent(r), why(CauseHopeless, 0, 0))
+			c.refuse(r, 0, c.lost(r), why(CauseHopeless, 0, 0))
 			continue
 		}
 		if !c.room() || !c.start(r) {
@@ -715,9 +715,8 @@
 	}
 }
 
-// stepCalls moves the number of calls in the dependency's hands by the time that calls take: one that is
-// crowded gets less done. It should cover whatever makes calls slow because of their number; where they are
-// slow for another reason it holds calls back for nothing, down to what the dependency works on at once.
+// stepCalls moves the number of calls in the dependency's hands by the time that they take: a crowded one
+// gets less done. One slow for another reason is held back for nothing, to what it works on at once.
 func (c *Controller) stepCalls() {
 	if c.calls < callFew {
 		return
@@ -778,9 +777,8 @@
 // calls stand in line, which the cpu gauge does not show.
 func (c *Controller) full(class int) bool { return c.cpu > c.fig.BusyCPU || c.jammed(class) }
 
-// placeCalls places the calls that wait as far as the share of the dependency goes: first those whose
-// requests can still be served in their aim, by worth, then the others. In the order in which they came,
-// each of them would be late by the time that the line takes.
+// placeCalls places waiting calls as far as the share of the dependency goes: by worth those that can be
+// served in their aim, then others. In the order in which they came all would be late by the line's time.
 func (c *Controller) placeCalls() {
 	over := func(r *request) bool { return r.state != blocked || r.answered }
 	c.callLine = slices.DeleteFunc(c.callLine, over)
@@ -908,6 +906,9 @@
 	if !(c.cpu >= 0 && c.load >= 0) { // no gauges: what runs stands for them
 		c.cpu, c.load = float64(c.onCores)/float64(c.set.Cores), float64(c.onCores)
 	}
+	if c.crowded = min(c.turned/turnedAll, 1); !(c.cpu > c.fig.BusyCPU) {
+		c.crowded = 1 // calls may stand in line, and the dependency is the same for all
+	}
 	c.expire()
 	c.sweep()
 	if c.now >= c.periodAt+period {
@@ -922,7 +923,7 @@
 	for i := range c.holds {
 		for _, r := range slices.Clone(c.holds[i].line) {
 			if r.due <= c.now+guardTime || c.hopeless(r, 0) {
-				c.refuse(r, 0, c.spent(r), why(CauseHopeless, 0, 0))
+				c.refuse(r, 0, c.lost(r), why(CauseHopeless, 0, 0))
 			}
 		}
 	}
@@ -943,9 +944,8 @@
 		float64(c.now-r.began) > c.fig.OverRun*float64(c.expected(r))
 }
 
-// health is bad while this server alone reads too late to serve: callers that hear it late forget its
-// credit, but the list reaches them. Few further tries tell that others serve. While it reads more than
-// usual, others have left or all are flooded: leaving too would empty the list.
+// health is bad while this server alone reads too late to serve, as few further tries tell: the list reaches
+// callers that forget its credit. While it reads more than usual all may be flooded, and it stays.
 func (c *Controller) health(target float64) {
 	c.unread, c.readNow = c.unread*unreadFade, c.readNow*(1-learn)
 	usual := c.readAll * float64(period) / float64(c.now-c.born) // a period, in the mean of its life
--- a/internal/config/peers.go
+++ b/internal/config/peers.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"reflect"
 
+	"shalesail/internal/peers/accounts"
 	"shalesail/internal/peers/duty"
 	"shalesail/internal/peers/plan"
 )
@@ -28,6 +29,14 @@
 	Each   int64        `yaml:"each"`    // that one runner may hold
 	AgainS float64      `yaml:"again_s"` // before who lost one without giving it back may have it again; twice as long each further time in a row
 	Checks []HallChecks `yaml:"checks"`
+	// Statements has one runner pass on the statements of lost ones; empty: each of their heirs does.
+	Statements *Holders `yaml:"statements"`
+}
+
+// Holders are who may hold a duty.
+type Holders struct {
+	Prefer  []string `yaml:"prefer"`  // halls, the best first
+	Members []string `yaml:"members"` // empty: all
 }
 
 // HallChecks has one runner ask the servers of a hall for their health, and tell the others.
@@ -48,6 +57,9 @@
 		r.List = append(r.List, duty.Rule{Name: duty.CheckDuty(c.Hall), Halls: prefer, Members: c.Members})
 		halls = append(halls, c.Hall)
 	}
+	if s := p.Duties.Statements; s != nil {
+		r.List = append(r.List, duty.Rule{Name: accounts.Duty, Halls: s.Prefer, Members: s.Members})
+	}
 	return r, halls
 }
 
@@ -163,5 +175,15 @@
 			}
 		}
 	}
+	if s := o.Peers.Duties.Statements; s != nil {
+		if o.Usage.Dir == "" {
+			return o.doc.Bad("peers.duties.statements", "there are no statements: usage.dir is missing")
+		}
+		for _, m := range s.Members {
+			if !members[m] {
+				return o.doc.Bad("peers.duties.statements", "%s is not among the members", m)
+			}
+		}
+	}
 	return nil
 }
--- a/internal/peers/accounts/shelf.go
+++ b/internal/peers/accounts/shelf.go
@@ -7,8 +7,12 @@
 	"shalesail/internal/peers/plan"
 )
 
+// Duty is that of passing on the statements of lost runners.
+const Duty = "statements"
+
 // Shelf decides who else is to have the statements that lie in this runner's folder. Those of its own accounts are its to pass on; those that
-// it has of another one are, once that one's process is lost: whoever else was told of the account may know less of it.
+// it has of another one are, once that one's process is lost: whoever else was told of the account may know less of it. Where the table has a
+// holder for that, others give such statements to it alone, and it passes them on; without one they wait, where they lie.
 type Shelf struct {
 	name  string
 	mark  uint32 // of this process
@@ -63,9 +67,21 @@
 	return now == nil || now.Life == 0 || now.Process != m.Process
 }
 
-// mine tells whether a statement is this runner's to pass on.
-func (s *Shelf) mine(p *paper) bool {
-	return p.giver.Name == "" || s.gone(p.giver)
+// to is whom this runner is to pass a statement on to.
+func (s *Shelf) to(p *paper) []plan.Member {
+	switch d := s.table.Duty(Duty); {
+	case p.giver.Name == "":
+		return s.heirs
+	case !s.gone(p.giver):
+		return nil
+	case d == nil || d.Holder == s.name:
+		return s.heirs
+	default:
+		if m := s.table.Member(d.Holder); m != nil && m.Life != 0 && m.Bills {
+			return []plan.Member{*m}
+		}
+		return nil
+	}
 }
 
 // lookAt bounds the work of one look, and what is asked at once.
@@ -80,10 +96,10 @@
 		s.next = (s.next + 1) % len(s.order)
 		name := s.order[s.next]
 		p := s.lies[name]
-		if now-p.said < resend || !s.mine(p) {
+		if now-p.said < resend {
 			continue
 		}
-		for _, h := range s.heirs {
+		for _, h := range s.to(p) {
 			if life, ok := p.had[h.Name]; !ok || life != h.Life {
 				p.said = now
 				s.out = append(s.out, Message{Kind: Past, From: s.name, To: h.Name, Name: name})
@@ -119,8 +135,8 @@
 		s.out = append(s.out, Message{Kind: Past, From: s.name, To: to, Process: s.mark, Name: name, Bytes: b})
 		return
 	}
-	if p := s.lies[name]; p != nil {
-		for _, h := range s.heirs {
+	if p := s.lies[name]; p != nil && s.table != nil {
+		for _, h := range append(s.to(p), s.heirs...) {
 			p.had[h.Name] = h.Life
 		}
 	}
@@ -133,7 +149,7 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.lies)) {
 		p := s.lies[name]
-		if s.mine(p) && slices.ContainsFunc(s.heirs, func(h plan.Member) bool { return p.had[h.Name] != h.Life }) {
+		if slices.ContainsFunc(s.to(p), func(h plan.Member) bool { return p.had[h.Name] != h.Life }) {
 			n++
 		}
 	}
