Who is about to be held for lost is not confirmed in its duties

Followed: the fleet was cut in two for 1.3 s, the holder was heard again 1.5 s after its last word, in the turn after the leader had proposed to hold it for lost. The leader's table had it as the holder still, a majority confirmed the leader, and the holder took a lease of 0.6 s; the loss was agreed on 20 ms later and the duty granted to the next one. Wrong: here() went by the table alone. Ruled out: a leader that was deposed (the read index waits for an entry of its own term) and a note that came late. Its test fails without the change.

--- a/internal/peers/council/council.go
+++ b/internal/peers/council/council.go
@@ -118,9 +118,10 @@
 	snaps   map[uint64]int64 // since when voters wait for a snapshot
 	lost    []uint64         // of those, whose snapshot may be lost
 	fresh   map[string]newcomer
-	asked   map[string]asker // when each runner said last that it is there, by its own clock
-	asks    []asker          // of those that hold duties, since the council was asked last whether it goes by this leader
-	reads   []asker          // those that it was asked for
+	outs    map[string]uint64 // lives that this leader proposed to hold for lost
+	asked   map[string]asker  // when each runner said last that it is there, by its own clock
+	asks    []asker           // of those that hold duties, since the council was asked last whether it goes by this leader
+	reads   []asker           // those that it was asked for
 	readNo  uint64
 	readAt  int64
 	readTo  uint64 // the library confirmed it, for the table that this entry leads to; 0: not yet
@@ -140,7 +141,7 @@
 func New(cfg Config, me plan.Member, disk []Kept, now int64) (*Council, error) {
 	me.Knows = plan.Newest
 	c := &Council{cfg: cfg, me: me, now: now, ticked: now, heard: now - Lease - 1, last: map[string]int64{}, way: map[string]int64{}, blanks: map[string]bool{},
-		duties: duty.NewGranter(cfg.Duties, cfg.Born), asked: map[string]asker{}, snaps: map[uint64]int64{}, fresh: map[string]newcomer{}, confirm: func(int64, uint64) {}}
+		duties: duty.NewGranter(cfg.Duties, cfg.Born), asked: map[string]asker{}, snaps: map[uint64]int64{}, fresh: map[string]newcomer{}, outs: map[string]uint64{}, confirm: func(int64, uint64) {}}
 	if c.me.Duties = cfg.Duties.Names(cfg.Name); cfg.Clock == nil {
 		c.cfg.Clock = func() int64 { return 0 }
 	}
@@ -440,6 +441,7 @@
 		clear(c.way)
 		clear(c.asked)
 		clear(c.fresh)
+		clear(c.outs)
 		c.duties.Begin()
 		for _, m := range c.table.Members {
 			c.last[m.Name] = c.now
@@ -555,7 +557,9 @@
 			}
 		}
 		if c.node.Propose(data) == nil { // else there is no leader, or too much is under way
-			c.way[string(data)] = c.now
+			if c.way[string(data)] = c.now; x.Kind == plan.Out {
+				c.outs[x.Member.Name] = x.Member.Life
+			}
 		}
 	}
 }
@@ -640,7 +644,8 @@
 	c.last[m.From] = c.now
 	if m.Asked != 0 {
 		c.asked[m.From] = asker{m.From, m.Member.Life, m.Asked}
-		if c.table.Does(m.From) > 0 {
+		// Who is about to be held for lost is not told that it holds anything: its duties may be another's before it hears so.
+		if in := c.table.Member(m.From); c.table.Does(m.From) > 0 && (in == nil || in.Life != c.outs[m.From]) {
 			c.asks = append(slices.DeleteFunc(c.asks, func(a asker) bool { return a.name == m.From }), c.asked[m.From])
 		}
 	}
--- a/internal/peers/council/late_test.go
+++ b/internal/peers/council/late_test.go
@@ -91,3 +91,21 @@
 	r.run(8000)
 	r.agreed()
 }
+
+// A holder was confirmed in its duties after it was proposed to hold it for lost, and believed for as long as a lease beside the next one.
+func TestNoLeaseForWhoIsAboutToBeLost(t *testing.T) {
+	r := newRoom(t, 5, 3)
+	r.run(8000)
+	c, name := r.all[r.leader()], r.names[4]
+	here := Message{Kind: Here, From: name, To: c.cfg.Name, Member: r.all[name].me, Sent: 1, Asked: 5}
+	c.table = c.table.Clone()
+	c.table.Duties = []plan.Duty{{Name: "d", Holder: name, Life: r.all[name].me.Life, Token: 1}}
+	if c.Receive(&here, r.now); len(c.asks) != 1 {
+		t.Fatalf("%d ask", len(c.asks))
+	}
+	c.asks = nil
+	c.Tick(r.now + Suspect + 2*tick) // it is proposed to hold it for lost
+	if c.Receive(&here, r.now+Suspect+2*tick); len(c.asks) != 0 {
+		t.Error("it is asked for all the same")
+	}
+}
