An answer to the process before is not taken by the one that has its name now

Now a word of duties names the life that it is for, and one from the future is not taken. A test in council/late_test.go fails without the change.

--- a/internal/peers/council/council.go
+++ b/internal/peers/council/council.go
@@ -527,7 +527,7 @@
 		case a.name == c.cfg.Name:
 			c.confirm(a.asked, c.table.Version)
 		default:
-			c.send(Message{Kind: Heard, To: a.name, Asked: a.asked, Version: c.table.Version})
+			c.send(Message{Kind: Heard, To: a.name, Member: plan.Member{Name: a.name, Life: a.life}, Asked: a.asked, Version: c.table.Version})
 		}
 	}
 	c.reads, c.readTo = nil, 0
@@ -596,13 +596,18 @@
 			return
 		}
 		if m.Asked != 0 {
-			c.confirm(m.Asked, m.Version)
+			if m.Member.Life == c.me.Life { // else it is for the process before, whose clock may have been another
+				c.confirm(m.Asked, m.Version)
+			}
 			return
 		}
 		if m.Number != 0 {
 			c.dropped(m.Number)
 			return
 		}
+		if m.Sent > c.now { // it is for the process before, whose clock had gone further
+			return
+		}
 		if m.Version < c.table.Version { // it knows less than was agreed on: a council that began anew does not stand for the one before it
 			return
 		}
--- a/internal/peers/council/late_test.go
+++ b/internal/peers/council/late_test.go
@@ -109,3 +109,20 @@
 		t.Error("it is asked for all the same")
 	}
 }
+
+// An answer to the process before came to the one that took its name, whose clock began anew: it was taken for one from far in the future, and what
+// was heard last stayed new for as long as the process before had lived.
+func TestAnswerToTheProcessBefore(t *testing.T) {
+	r := newRoom(t, 4, 3)
+	r.run(8000)
+	c := r.all[r.names[3]]
+	confirmed, heard := 0, c.HeardAt()
+	c.OnConfirm(func(int64, uint64) { confirmed++ })
+	for _, m := range []Message{{Asked: 1 << 50, Member: plan.Member{Life: 999}}, {Sent: r.now + 1<<50}} {
+		m.Kind, m.From, m.To, m.Version = Heard, r.leader(), c.cfg.Name, c.Table().Version
+		c.Receive(&m, r.now)
+	}
+	if confirmed > 0 || c.HeardAt() != heard {
+		t.Errorf("confirmed %d times, heard at %d of %d", confirmed, c.HeardAt(), r.now)
+	}
+}
