--- a/internal/peers/duty/world_test.go
+++ b/internal/peers/duty/world_test.go
@@ -209,7 +209,7 @@
 	w := p.w
 	if w.wrong.unasked && m.Kind == council.Here && m.Asked != 0 && p.c.Leads() {
 		p.n.Send(m.From, func(to *vfleet.Node) {
-			to.Holds.(*process).receive(council.Message{Kind: council.Heard, From: p.n.Name, To: m.From, Asked: m.Asked, Version: p.c.Table().Version})
+			to.Holds.(*process).receive(council.Message{Kind: council.Heard, From: p.n.Name, To: m.From, Member: plan.Member{Life: m.Member.Life}, Asked: m.Asked, Version: p.c.Table().Version})
 		})
 	}
 	if w.wrong.lateNote {
