--- a/internal/peers/council/late_test.go
+++ b/internal/peers/council/late_test.go
@@ -126,3 +126,21 @@
 		t.Errorf("confirmed %d times, heard at %d of %d", confirmed, c.HeardAt(), r.now)
 	}
 }
+
+// A voter whose number was taken from it went on to be heard, and never learned of a table again: it asks for another one.
+func TestVoterWithoutItsNumber(t *testing.T) {
+	r := newRoom(t, 3, 3)
+	r.run(8000)
+	c, voter := r.all[r.leader()], r.all[r.voters[0]]
+	if voter == c {
+		voter = r.all[r.voters[1]]
+	}
+	before := voter.number()
+	if err := c.node.ProposeConfChange(&raftpb.ConfChange{Type: raftpb.ConfChangeRemoveNode.Enum(), NodeId: proto.Uint64(before)}); err != nil {
+		t.Fatal(err)
+	}
+	r.run(8000)
+	if r.agreed(); !voter.Votes() || voter.number() == before {
+		t.Errorf("votes %v under %d", voter.Votes(), voter.number())
+	}
+}
