A connection gives out what is queued when its peer ends; a closing listener empties its queue

A peer that half-closes and is read to its end in the turn in which its answer is written lost the answer; so did one that was left and reads slowly. - conn.go Leave: a connection that was paused was not read on, and closing it over unread bytes reset it. - listen.go Close: of the queue only 64 were taken, and none where as many are open as may be; the rest was reset though accepted in its peers' eyes. Ruled out: links that were dialled (an end of the engine or back end is told at once, as before); errors of a reset. The loop got a seam of its own for this: a clock that its owner steps, one turn at a time (Turn, NewStepped, AwaitReady). Timers have a file of their own.

--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -171,12 +171,7 @@
 		c.Close(fmt.Errorf("read: %w", err))
 		return
 	case n == 0:
-		c.ended = true
-		if c.leaving || !c.h.End() {
-			c.Close(io.EOF)
-			return
-		}
-		c.rearm()
+		c.peerEnded()
 		return
 	case c.leaving:
 		if c.dropped += n; c.dropped > maxDropped {
@@ -206,6 +201,24 @@
 	}
 }
 
+// peerEnded deals with the end of what the peer sends. A peer that only stopped sending still gets what is queued for it:
+// its end may be read in the very turn in which its answer was written, before that went out. A connection that was dialled
+// to a server that ends has nobody to wait for.
+func (c *Conn) peerEnded() {
+	c.ended = true
+	wanted := !c.leaving && c.h.End()
+	switch {
+	case c.closed:
+	case wanted:
+		c.rearm()
+	case c.dialled || len(c.out) == 0:
+		c.Close(io.EOF)
+	default:
+		c.Leave()
+		c.rearm()
+	}
+}
+
 // Write queues b; it goes out at the end of the turn.
 func (c *Conn) Write(b []byte) {
 	if c.closed || c.leaving {
@@ -366,7 +379,9 @@
 		c.Close(nil)
 		return
 	}
-	c.leaving, c.in = true, nil
+	// Reading goes on where it was paused: closed over unread bytes, the connection would be reset.
+	c.leaving, c.paused, c.in = true, false, nil
+	c.rearm()
 	c.last = c.loop.After(flushWithin, func() { c.Close(ErrPeerSlow) })
 	c.touch()
 }
--- a/internal/loop/listen.go
+++ b/internal/loop/listen.go
@@ -11,6 +11,7 @@
 
 const (
 	acceptsATurn = 64
+	backlog      = 1024   // connections that wait in the system's queue
 	acceptRest   = 50_000 // after the system ran out of something that an accept needs
 	handshake    = 200_000
 )
@@ -27,6 +28,7 @@
 	paused bool
 	full   func()
 	shared bool // with other processes
+	ending bool // it closes as soon as nobody waits in the queue
 }
 
 // Listen accepts connections on addr. Accept names the handler of each. At most `most` are open at once; the others
@@ -70,7 +72,7 @@
 		}
 	}
 	if err == nil {
-		err = unix.Listen(fd, 1024)
+		err = unix.Listen(fd, backlog)
 	}
 	if err == nil && shared { // what the one before it left behind would lead all connections here, and none to those that go on
 		_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_DETACH_REUSEPORT_BPF, 0)
@@ -122,8 +124,11 @@
 	return netip.AddrPort{}
 }
 
-func (ln *Listener) ready(uint32) {
-	for range acceptsATurn {
+func (ln *Listener) ready(uint32) { ln.acceptUpTo(acceptsATurn) }
+
+// acceptUpTo takes in so many of those that wait in the queue, as far as there is room.
+func (ln *Listener) acceptUpTo(most int) {
+	for range most {
 		if ln.fd < 0 {
 			return
 		}
@@ -141,6 +146,9 @@
 		case nil:
 			ln.take(fd, from)
 		case unix.EAGAIN:
+			if ln.ending {
+				ln.release()
+			}
 			return
 		case unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM:
 			// The queue stays readable: without a rest the loop would spin on an accept that cannot succeed.
@@ -208,9 +216,13 @@
 }
 
 func (ln *Listener) resume() {
-	if ln.paused && ln.fd >= 0 && ln.open < ln.most {
-		ln.paused = false
-		ln.loop.rewatch(ln.fd, unix.EPOLLIN)
+	if !ln.paused || ln.fd < 0 || ln.open >= ln.most {
+		return
+	}
+	ln.paused = false
+	ln.loop.rewatch(ln.fd, unix.EPOLLIN)
+	if ln.ending { // an empty queue tells nothing by itself
+		ln.acceptUpTo(backlog)
 	}
 }
 
@@ -234,12 +246,35 @@
 // Listens tells whether it still takes connections.
 func (ln *Listener) Listens() bool { return ln.fd >= 0 }
 
-// Close takes in what waits in the queue, since that was accepted in the peer's eyes, and stops listening.
+// CloseWhenTaken stops listening once all that wait in the queue are taken in, or after so long: they were accepted in their
+// peers' eyes, and closing the listener would reset them. Usually that is now; where as many connections are open as may be,
+// those in the queue wait for their places.
+func (ln *Listener) CloseWhenTaken(within int64) {
+	if ln.fd < 0 || ln.ending {
+		return
+	}
+	ln.ending = true
+	ln.acceptUpTo(backlog)
+	if ln.fd >= 0 {
+		ln.loop.After(within, ln.Close)
+	}
+}
+
+// Close takes in what waits in the queue as far as there is room, and stops listening.
 func (ln *Listener) Close() {
 	if ln.fd < 0 {
 		return
 	}
-	ln.ready(0)
+	ln.ending = true
+	ln.acceptUpTo(backlog)
+	ln.release()
+}
+
+// release is the one place where the listening socket is given back.
+func (ln *Listener) release() {
+	if ln.fd < 0 {
+		return
+	}
 	if ln.path != "" {
 		_ = unix.Unlink(ln.path) // or callers would be refused by a name that nobody answers
 	}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -3,7 +3,6 @@
 package loop
 
 import (
-	"container/heap"
 	"errors"
 	"fmt"
 	"os"
@@ -31,9 +30,14 @@
 	gen int32
 }
 
+// Clock tells the time of day, with its monotonic reading.
+type Clock func() time.Time
+
 // Loop owns the epoll descriptor, the table of watched descriptors and the timers.
 type Loop struct {
 	ep      int
+	clock   Clock
+	stepped bool // the clock's owner says when time passes, so that no turn waits for it
 	start   time.Time
 	now     int64
 	unix    int64
@@ -43,6 +47,7 @@
 	posted  []func()
 	dirty   []*Conn
 	scratch []byte
+	events  [eventsATurn]unix.EpollEvent
 	stopped bool
 
 	wake      int // eventfd: something was delivered
@@ -50,13 +55,19 @@
 	delivered []func()
 }
 
-// New makes a loop. Close gives it back.
-func New() (*Loop, error) {
+// New makes a loop that goes by the system's clock. Close gives it back.
+func New() (*Loop, error) { return newLoop(wallclock.Now, false) }
+
+// NewStepped makes a loop for tests: it goes by a clock that its owner steps, and its turns deal with what is ready and due
+// without waiting.
+func NewStepped(clock Clock) (*Loop, error) { return newLoop(clock, true) }
+
+func newLoop(clock Clock, stepped bool) (*Loop, error) {
 	ep, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
 	if err != nil {
 		return nil, fmt.Errorf("loop: epoll: %w", err)
 	}
-	l := &Loop{ep: ep, start: wallclock.Now(), table: map[int]watched{}, scratch: make([]byte, readChunk)}
+	l := &Loop{ep: ep, clock: clock, stepped: stepped, start: clock(), table: map[int]watched{}, scratch: make([]byte, readChunk)}
 	l.readClock()
 	if l.wake, err = unix.Eventfd(0, unix.EFD_CLOEXEC|unix.EFD_NONBLOCK); err != nil {
 		_ = unix.Close(ep)
@@ -79,7 +90,7 @@
 func (l *Loop) Unix() int64 { return l.unix }
 
 func (l *Loop) readClock() {
-	t := wallclock.Now()
+	t := l.clock()
 	l.now, l.unix = t.Sub(l.start).Microseconds()+clockOrigin, t.UnixMicro()
 }
 
@@ -91,26 +102,47 @@
 
 // Run turns the loop until Stop.
 func (l *Loop) Run() error {
-	events := make([]unix.EpollEvent, eventsATurn)
 	for !l.stopped {
-		l.settle()
-		n, err := unix.EpollWait(l.ep, events, l.patience())
-		if err != nil && err != unix.EINTR {
-			return fmt.Errorf("loop: epoll wait: %w", err)
+		if err := l.Turn(); err != nil {
+			return err
 		}
-		l.readClock()
-		l.fire()
-		for i := range max(n, 0) {
-			// A descriptor closed earlier in this turn may have been given out again: the generation tells.
-			if w, ok := l.table[int(events[i].Fd)]; ok && w.gen == events[i].Pad {
-				w.src.ready(events[i].Events)
-			}
+	}
+	l.settle()
+	return nil
+}
+
+// Turn waits until something is ready or the next timer is due, and deals with all of it: timers first, then descriptors,
+// and what both have put into buffers is written at the end.
+func (l *Loop) Turn() error {
+	l.settle()
+	n, err := unix.EpollWait(l.ep, l.events[:], l.patience())
+	if err != nil && err != unix.EINTR {
+		return fmt.Errorf("loop: epoll wait: %w", err)
+	}
+	l.readClock()
+	l.fire()
+	for _, event := range l.events[:max(n, 0)] {
+		// A descriptor closed earlier in this turn may have been given out again: the generation tells.
+		if w, ok := l.table[int(event.Fd)]; ok && w.gen == event.Pad {
+			w.src.ready(event.Events)
 		}
 	}
 	l.settle()
 	return nil
 }
 
+// AwaitReady waits until the next turn will find something ready, without dealing with it, and reports whether there is
+// something. With a stepped clock it lets a test put a timer and a descriptor into the same turn.
+func (l *Loop) AwaitReady(within time.Duration) (bool, error) {
+	fds := []unix.PollFd{{Fd: int32(l.ep), Events: unix.POLLIN}}
+	for {
+		n, err := unix.Poll(fds, int(within.Milliseconds()))
+		if err != unix.EINTR {
+			return n > 0, err
+		}
+	}
+}
+
 // settle runs what was posted and writes what the turn has put into buffers.
 func (l *Loop) settle() {
 	for len(l.posted) > 0 || len(l.dirty) > 0 {
@@ -128,7 +160,7 @@
 
 // patience is the time until the next timer in milliseconds, rounded up.
 func (l *Loop) patience() int {
-	if l.stopped {
+	if l.stopped || l.stepped {
 		return 0
 	}
 	if len(l.timers) == 0 {
@@ -207,76 +239,3 @@
 type readyFunc func(events uint32)
 
 func (f readyFunc) ready(events uint32) { f(events) }
-
-// Timer is a call to come.
-type Timer struct {
-	loop  *Loop
-	at    int64
-	fn    func()
-	index int // in the heap; -1 when it is not in it
-}
-
-// After calls fn once, d microseconds from now.
-func (l *Loop) After(d int64, fn func()) *Timer {
-	t := &Timer{loop: l, at: l.now + max(d, 0), fn: fn}
-	heap.Push(&l.timers, t)
-	return t
-}
-
-// Every calls fn each d microseconds, first after d.
-func (l *Loop) Every(d int64, fn func()) {
-	l.After(d, func() {
-		fn()
-		l.Every(d, fn)
-	})
-}
-
-// Stop cancels the call, also when it is due in this very turn. It may be called on a nil timer, and again.
-func (t *Timer) Stop() {
-	if t == nil {
-		return
-	}
-	t.fn = nil
-	if t.index >= 0 {
-		heap.Remove(&t.loop.timers, t.index)
-	}
-}
-
-// fire runs the timers that are due. Those set meanwhile wait for the next turn.
-func (l *Loop) fire() {
-	var due []*Timer
-	for len(l.timers) > 0 && l.timers[0].at <= l.now {
-		due = append(due, heap.Pop(&l.timers).(*Timer))
-	}
-	for _, t := range due {
-		if t.fn != nil {
-			t.fn()
-		}
-	}
-}
-
-type timerHeap []*Timer
-
-func (h timerHeap) Len() int           { return len(h) }
-func (h timerHeap) Less(i, j int) bool { return h[i].at < h[j].at }
-func (h timerHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-
-// Push implements heap.Interface.
-func (h *timerHeap) Push(x any) {
-	t := x.(*Timer)
-	t.index = len(*h)
-	*h = append(*h, t)
-}
-
-// Pop implements heap.Interface.
-func (h *timerHeap) Pop() any {
-	old := *h
-	t := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	t.index = -1
-	return t
-}
--- /dev/null
+++ b/internal/loop/timer.go
@@ -0,0 +1,76 @@
+package loop
+
+import "container/heap"
+
+// Timer is a call to come.
+type Timer struct {
+	loop  *Loop
+	at    int64
+	fn    func()
+	index int // in the heap; -1 when it is not in it
+}
+
+// After calls fn once, d microseconds from now.
+func (l *Loop) After(d int64, fn func()) *Timer {
+	t := &Timer{loop: l, at: l.now + max(d, 0), fn: fn}
+	heap.Push(&l.timers, t)
+	return t
+}
+
+// Every calls fn each d microseconds, first after d.
+func (l *Loop) Every(d int64, fn func()) {
+	l.After(d, func() {
+		fn()
+		l.Every(d, fn)
+	})
+}
+
+// Stop cancels the call, also when it is due in this very turn. It may be called on a nil timer, and again.
+func (t *Timer) Stop() {
+	if t == nil {
+		return
+	}
+	t.fn = nil
+	if t.index >= 0 {
+		heap.Remove(&t.loop.timers, t.index)
+	}
+}
+
+// fire runs the timers that are due. Those set meanwhile wait for the next turn.
+func (l *Loop) fire() {
+	var due []*Timer
+	for len(l.timers) > 0 && l.timers[0].at <= l.now {
+		due = append(due, heap.Pop(&l.timers).(*Timer))
+	}
+	for _, t := range due {
+		if t.fn != nil {
+			t.fn()
+		}
+	}
+}
+
+type timerHeap []*Timer
+
+func (h timerHeap) Len() int           { return len(h) }
+func (h timerHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h timerHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (h *timerHeap) Push(x any) {
+	t := x.(*Timer)
+	t.index = len(*h)
+	*h = append(*h, t)
+}
+
+// Pop implements heap.Interface.
+func (h *timerHeap) Pop() any {
+	old := *h
+	t := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	t.index = -1
+	return t
+}
