Requests that cross a close, a shutdown or another's failure on a connection are read and answered

Ruled out: peers that always send as the front leaves (left after 1 s), and floods behind bytes that cannot be read (not read on). The states of a connection are typed; the front has a file each for connections, exchanges and reading a request.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -528,7 +528,8 @@
 	var look func()
 	look = func() {
 		past := r.loop.Now() - began
-		if r.conns() == 0 && past > grace || past > r.cfg.Stop-drainSpare {
+		if r.conns() == 0 && past > grace && !r.front.Listens() || past > r.cfg.Stop-drainSpare {
+			r.front.Finish()
 			evDrained.Log(past/1000, r.core.Open(), r.core.Stats())
 			r.loop.Stop()
 			return
--- /dev/null
+++ b/internal/front/platform/crossing_test.go
@@ -0,0 +1,314 @@
+package platform_test
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/netip"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"shalesail"
+	"shalesail/internal/core"
+	"shalesail/internal/fastcgi"
+	"shalesail/internal/front/platform"
+	"shalesail/internal/scenario"
+)
+
+// idleFor is how long a connection may rest on the runner of these tests, and longIdle is longer than what a request that
+// has begun may take.
+const (
+	idleFor  = 200 * time.Millisecond
+	longIdle = 3 * time.Second
+	sweep    = 100 * time.Millisecond // how often the front looks after its connections
+
+	beginSize = 8 + 8         // bytes of the record that begins a request
+	midRecord = beginSize + 5 // a place in the head of the next one
+)
+
+// runner is the front with a core whose runs end as the test says, on a loop that it steps.
+type runner struct {
+	*scenario.Stepped
+	t     *testing.T
+	front *platform.Front
+	core  *core.Core
+	runs  []*core.Attempt
+}
+
+func (r *runner) Run(a *core.Attempt)   { r.runs = append(r.runs, a) }
+func (r *runner) Abandon(*core.Attempt) {}
+
+// end ends the oldest run.
+func (r *runner) end() {
+	r.t.Helper()
+	if len(r.runs) == 0 {
+		r.t.Fatal("nothing runs")
+	}
+	a := r.runs[0]
+	r.runs = r.runs[1:]
+	r.core.Ended(a, core.Fine, &core.Result{Status: 200, Body: []byte("result of " + a.Request.Name)})
+}
+
+func newRunner(t *testing.T, idle time.Duration) *runner {
+	t.Helper()
+	r := &runner{Stepped: scenario.NewStepped(t), t: t}
+	r.front = platform.New(r.Loop, nil, 0)
+	set := shalesail.Settings{Cores: 4, MemoryKB: 50_000, RunFactor: 8, CrowdLimit: 6, TellsGone: true, DrainGrace: time.Second, Servers: 3,
+		IdleFor: 30 * time.Second, Classes: []shalesail.Class{{Name: "check", Target: 4 * time.Second, Deadline: 9 * time.Second, Worth: 1}}}
+	var err error
+	r.core, err = core.New(set, 1, core.Host{Now: r.Now, Unix: r.Unix,
+		After:  func(d int64, fn func()) func() { return r.After(d, fn).Stop },
+		Gauges: func(fn func(core.Gauges)) { fn(core.NoGauges()) },
+		Health: r.front.SetHealth, Say: r.front.SetPressure, Trim: func(int64) {},
+		Route: func(int) core.Runner { return r }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.core.Start()
+	if err := r.front.Listen(netip.MustParseAddrPort("127.0.0.1:0"), 100, r.core); err != nil {
+		t.Fatal(err)
+	}
+	r.front.SetIdle(idle.Microseconds())
+	return r
+}
+
+// connect opens a connection of a balancer that is taken.
+func (r *runner) connect(send string) *net.TCPConn {
+	r.t.Helper()
+	before := r.front.Conns()
+	c := r.DialAddr(r.front.Addr().String(), send)
+	r.Until(func() bool { return r.front.Conns() > before })
+	return c
+}
+
+// request is a whole request by its number, on which the connection is kept.
+func (r *runner) request(id int) string {
+	params := []byte{}
+	for _, p := range [][2]string{{"REQUEST_METHOD", "POST"}, {"SCRIPT_NAME", "/ops/check"}, {"HTTP_X_CALL_ID", fmt.Sprintf("%016x", id)},
+		{"HTTP_X_SOURCE", "1"}, {"HTTP_X_CUSTOMER", ""}, {"HTTP_X_HEAP_KB", "20"}, {"HTTP_X_IMPORTANCE", "0.5"},
+		{"HTTP_X_QUEUE_START", strconv.FormatInt(r.Unix()/1000, 10)}} {
+		params = fastcgi.AppendPair(params, p[0], p[1])
+	}
+	b := fastcgi.AppendBegin(nil, uint16(id), fastcgi.Begin{Role: fastcgi.Responder, Keep: true})
+	b = fastcgi.Append(b, fastcgi.Params, uint16(id), params)
+	b = fastcgi.Append(b, fastcgi.Params, uint16(id), nil)
+	return string(fastcgi.Append(b, fastcgi.Stdin, uint16(id), nil))
+}
+
+// answers are the requests that a connection has ended, by their numbers: the status of a response, or "overloaded".
+func answers(t *testing.T, text string) map[int]string {
+	t.Helper()
+	got, out := map[int]string{}, map[uint16][]byte{}
+	for b := []byte(text); len(b) > 0; {
+		rec, n, err := fastcgi.Read(b, fastcgi.MaxRecord)
+		if err != nil || n == 0 {
+			t.Fatalf("what came is not whole: %d bytes left, %v", len(b), err)
+		}
+		b = b[n:]
+		switch rec.Type {
+		case fastcgi.Stdout:
+			out[rec.ID] = append(out[rec.ID], rec.Content...)
+		case fastcgi.EndRequest:
+			status, _, _ := strings.Cut(strings.TrimPrefix(string(out[rec.ID]), "Status: "), "\r\n")
+			if rec.Content[4] == fastcgi.Overloaded {
+				status = "overloaded"
+			}
+			if _, twice := got[int(rec.ID)]; twice {
+				t.Fatalf("request %d is answered twice", rec.ID)
+			}
+			got[int(rec.ID)] = status
+		}
+	}
+	return got
+}
+
+// expect reads a connection to its end, which has to be in order, and compares its answers.
+func (r *runner) expect(c net.Conn, want map[int]string) {
+	r.t.Helper()
+	end := r.AwaitEnd(scenario.ReadToEnd(c))
+	if got := answers(r.t, end.Text); end.Err != nil || fmt.Sprint(got) != fmt.Sprint(want) {
+		r.t.Fatalf("answers %v, end %v; want %v and an end in order", got, end.Err, want)
+	}
+}
+
+// serve ends runs until so many have been.
+func (r *runner) serve(n int) {
+	r.t.Helper()
+	for range n {
+		r.Until(func() bool { return len(r.runs) > 0 })
+		r.end()
+	}
+	r.Pass(0)
+}
+
+// A request that comes in the very turn in which its connection would be closed as idle is served.
+func TestRequestAsItsIdleConnectionIsClosed(t *testing.T) {
+	r := newRunner(t, idleFor)
+	c := r.connect(r.request(1))
+	r.serve(1)
+	r.Send(c, r.request(2))
+	r.Together(idleFor + sweep)
+	r.serve(1)
+	if err := c.CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	r.expect(c, map[int]string{1: "200", 2: "200"})
+}
+
+// A request that comes in pieces on a connection that has rested is not taken for one that never ends, nor its connection for
+// an idle one.
+func TestPiecesOnARestedConnection(t *testing.T) {
+	for name, idle := range map[string]time.Duration{"that may rest": longIdle, "that is trimmed": idleFor} {
+		t.Run(name, func(t *testing.T) {
+			r := newRunner(t, idle)
+			c := r.connect(r.request(1))
+			r.serve(1)
+			r.Pass(idle - sweep/2)
+			whole := r.request(2)
+			for _, cut := range []int{3, midRecord} { // in the head of the first record, and in the second one
+				r.Send(c, whole[:cut])
+				r.Together(0)
+				r.Pass(2 * sweep)
+				whole = whole[cut:]
+			}
+			r.Send(c, whole)
+			r.serve(1)
+			if err := c.CloseWrite(); err != nil {
+				t.Fatal(err)
+			}
+			r.expect(c, map[int]string{1: "200", 2: "200"})
+		})
+	}
+}
+
+// Half a request as the front leaves: the rest may still come, and gets its answer.
+func TestHalfARequestAsTheFrontLeaves(t *testing.T) {
+	for _, cut := range []int{3, midRecord} {
+		r := newRunner(t, longIdle)
+		c := r.connect(r.request(1))
+		r.serve(1)
+		whole := r.request(2)
+		r.Send(c, whole[:cut])
+		r.Together(0)
+		r.front.Leave()
+		r.Pass(2 * sweep)
+		r.Send(c, whole[cut:])
+		r.serve(1)
+		r.expect(c, map[int]string{1: "200", 2: "200"})
+	}
+}
+
+// The answer to one request must not end a connection on which another has begun to come, or has come in the same moment.
+func TestAnswerAsAnotherRequestComes(t *testing.T) {
+	for name, cut := range map[string]int{"begun": midRecord, "unread": 0} {
+		t.Run(name, func(t *testing.T) {
+			r := newRunner(t, longIdle)
+			c := r.connect(r.request(1))
+			r.Until(func() bool { return len(r.runs) == 1 })
+			r.front.Leave()
+			whole := r.request(2)
+			if cut > 0 {
+				r.Send(c, whole[:cut])
+				r.Together(0)
+			}
+			r.After(1000, r.end) // in the turn in which the rest is there
+			r.Send(c, whole[cut:])
+			r.Together(time.Millisecond)
+			r.serve(1)
+			r.expect(c, map[int]string{1: "200", 2: "200"})
+		})
+	}
+}
+
+// What cannot be read ends a connection, but not the requests that were read on it before.
+func TestSpoiltBytesBehindARequest(t *testing.T) {
+	r := newRunner(t, longIdle)
+	c := r.connect(r.request(1) + r.request(2)[:midRecord] + strings.Repeat("\xff", 9000))
+	r.serve(1)
+	r.expect(c, map[int]string{1: "200"})
+}
+
+// A request whose rest does not come in time is turned away alone: the others on its connection get their answers.
+func TestRequestThatDoesNotGoOn(t *testing.T) {
+	r := newRunner(t, longIdle)
+	c := r.connect(r.request(1) + r.request(2)[:midRecord])
+	r.Until(func() bool { return len(r.runs) == 1 })
+	r.Pass(2*time.Second + sweep)
+	r.serve(1)
+	r.expect(c, map[int]string{1: "200", 2: "overloaded"})
+}
+
+// A bad request ends its connection after the others on it: one that has begun is still read, and a new one is turned away.
+func TestBadRequestBesideOthers(t *testing.T) {
+	r := newRunner(t, longIdle)
+	bad := bytes.Replace([]byte(r.request(3)), []byte("/ops/check"), []byte("/ops/chalk"), 1)
+	rest := r.request(2)
+	c := r.connect(r.request(1) + rest[:beginSize] + string(bad) + r.request(4) + rest[beginSize:])
+	r.serve(2)
+	r.expect(c, map[int]string{1: "200", 2: "200", 3: "400", 4: "overloaded"})
+}
+
+// Idle connections make room for others, the oldest first, but not one on which a request has just come.
+func TestRoomIsMadeByIdleConnections(t *testing.T) {
+	r := newRunner(t, longIdle)
+	r.front.SetMost(3)
+	var resting []*net.TCPConn
+	for id := 1; id <= 3; id++ {
+		resting = append(resting, r.connect(r.request(id)))
+		r.serve(1)
+		r.Pass(time.Millisecond)
+	}
+	r.Send(resting[0], r.request(4)) // it has rested longest, and is idle no more
+	late := r.DialAddr(r.front.Addr().String(), r.request(5))
+	r.serve(1)
+	r.Pass(time.Second) // those that were left are gone
+	r.serve(1)
+	for _, c := range []*net.TCPConn{late, resting[0]} {
+		if err := c.CloseWrite(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r.expect(resting[0], map[int]string{1: "200", 4: "200"})
+	r.expect(late, map[int]string{5: "200"})
+}
+
+// A peer that rests until the process ends does not hold it up, and one that always sends is left some time.
+func TestPeersThatStayAsTheFrontLeaves(t *testing.T) {
+	r := newRunner(t, longIdle)
+	rests, sends := r.connect(r.request(1)), r.connect(r.request(2))
+	r.serve(2)
+	r.front.Leave()
+	if r.front.Listens() {
+		t.Fatal("it still listens")
+	}
+	for id := 3; r.front.Conns() > 0; id++ {
+		if id > 3000 {
+			t.Fatal("connections stay open")
+		}
+		_, _ = sends.Write([]byte(r.request(id))) // it fails once the connection is gone
+		r.Pass(time.Millisecond)
+		for len(r.runs) > 0 {
+			r.end()
+		}
+	}
+	r.expect(rests, map[int]string{1: "200"})
+}
+
+// As the process ends, bytes that were not read must not take along answers that the peer has not read yet.
+func TestUnreadBytesAsTheProcessEnds(t *testing.T) {
+	r := newRunner(t, longIdle)
+	c := r.connect(r.request(1))
+	r.Until(func() bool { return len(r.runs) == 1 })
+	r.end()
+	r.Send(c, r.request(2))
+	r.front.Finish()
+	if err := r.Close(); err != nil { // the descriptors of the connections stay open as long as the test's process
+		t.Fatal(err)
+	}
+	got := <-scenario.ReadToEnd(c)
+	if a := answers(t, got.Text); got.Err != nil || a[1] != "200" {
+		t.Fatalf("answers %v, end %v", a, got.Err)
+	}
+}
--- /dev/null
+++ b/internal/front/platform/exchange.go
@@ -0,0 +1,178 @@
+package platform
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"net/url"
+	"strconv"
+
+	"shalesail/internal/core"
+	"shalesail/internal/fastcgi"
+)
+
+// exchange is one request on a connection, from its begin to its end.
+type exchange struct {
+	conn   *conn
+	id     uint16
+	keep   bool
+	params []byte
+	body   []byte
+	whole  bool // the parameters are
+	sent   bool // it was handed to the core
+	began  int64
+	ticket core.Ticket
+}
+
+// forget gives back the parts of a request.
+func (x *exchange) forget() {
+	n := len(x.params) + len(x.body)
+	x.params, x.body = nil, nil
+	x.conn.partial -= n
+	x.conn.front.partial -= n
+}
+
+// add takes a further part of a request.
+func (x *exchange) add(to *[]byte, part []byte) {
+	*to = append(*to, part...)
+	x.conn.partial += len(part)
+	x.conn.front.hold(len(part))
+}
+
+// abort ends a request for which nobody waits. What runs goes on; the core keeps its key.
+func (x *exchange) abort() {
+	if x.sent {
+		x.conn.front.core.Withdraw(x.ticket)
+	}
+	x.finish(nil, fastcgi.RequestComplete)
+}
+
+// finish writes the last records of a request and forgets it.
+func (x *exchange) finish(out []byte, protocolStatus uint8) {
+	c := x.conn
+	if c.open[x.id] != x {
+		return
+	}
+	x.forget()
+	delete(c.open, x.id)
+	c.used = c.front.loop.Now()
+	c.Write(fastcgi.AppendEnd(out, x.id, 0, protocolStatus))
+	if !x.keep {
+		c.moveTo(finishing)
+	}
+	c.leaveIfDone()
+}
+
+// respond writes a whole answer. Fields come in pairs of name and value.
+func (x *exchange) respond(status int, body []byte, fields ...string) {
+	out := make([]byte, 0, 256+len(body))
+	out = append(out, "Status: "+strconv.Itoa(status)+"\r\n"...)
+	if p := x.conn.front.pressure; p != "" {
+		fields = append(fields, "X-Pressure", p)
+	}
+	for i := 0; i < len(fields); i += 2 {
+		out = append(out, fields[i]+": "+fields[i+1]+"\r\n"...)
+	}
+	out = append(append(out, "\r\n"...), body...)
+	recs := fastcgi.Append(make([]byte, 0, len(out)+64), fastcgi.Stdout, x.id, out)
+	x.finish(fastcgi.Append(recs, fastcgi.Stdout, x.id, nil), fastcgi.RequestComplete)
+}
+
+// Answer implements core.Asker.
+func (x *exchange) Answer(a core.Answer) {
+	switch a.Kind {
+	case core.Served:
+		fields := make([]string, 0, 2*len(a.Result.Fields)+2)
+		for _, f := range a.Result.Fields {
+			fields = append(fields, f.Name, f.Value)
+		}
+		x.respond(a.Result.Status, a.Result.Body, fields...)
+	case core.Refused:
+		var fields []string
+		if a.ComeBack > 0 {
+			fields = append(fields, "X-Come-Back-Ms", strconv.FormatInt((a.ComeBack+999)/1000, 10))
+		}
+		if a.Last {
+			fields = append(fields, "X-No-Failover", "1")
+		}
+		x.respond(503, nil, fields...)
+	case core.Late:
+		x.respond(504, nil)
+	case core.Misused:
+		x.reject(422, errors.New(a.Reason.String()))
+	case core.Ran:
+		x.respond(409, []byte("it ran, and its result was not kept\n"), "Content-Type", "text/plain")
+	case core.Foreign:
+		x.reject(404, errors.New("nobody here knows this request"))
+	default:
+		x.respond(500, nil)
+	}
+}
+
+// read takes over a request whose last byte has come.
+func (x *exchange) read() {
+	x.sent, x.conn.asked = true, true
+	f := x.conn.front
+	p := map[string]string{}
+	var meta []core.Field
+	var twice error
+	err := fastcgi.ReadPairs(x.params, func(name, value string) {
+		// The core goes by one value, and a server behind might go by the other.
+		if old, known := p[name]; known {
+			if old != value {
+				twice = fmt.Errorf("%s is given twice, as %q and %q", name, old, value)
+			}
+			return
+		}
+		p[name] = value
+		meta = append(meta, core.Field{Name: name, Value: value})
+	})
+	if err = cmp.Or(err, twice); err != nil {
+		x.reject(400, err)
+		return
+	}
+	body := x.body
+	x.forget()
+	path := p["SCRIPT_NAME"]
+	if path == healthPath {
+		x.health(p["QUERY_STRING"])
+		return
+	}
+	q, err := f.request(p, path)
+	switch {
+	case errors.Is(err, errDropped): // its balancer has not heard of it yet, and its other requests are as good as ever
+		x.respond(404, []byte(err.Error()+"\n"), "Content-Type", "text/plain")
+	case err != nil:
+		x.reject(400, err)
+	case p["CONTENT_LENGTH"] != "" && p["CONTENT_LENGTH"] != strconv.Itoa(len(body)):
+		x.reject(400, fmt.Errorf("CONTENT_LENGTH %q, and a body of %d bytes", p["CONTENT_LENGTH"], len(body)))
+	default:
+		q.Body, q.Meta, q.Asker = body, meta, x
+		x.ticket = f.core.Submit(q)
+	}
+}
+
+// reject answers what can't be taken for a request of a balancer. Its connection takes no more: the next would be as
+// bad, and a peer that sends the same again as soon as it is answered would keep the loop busy with nothing else.
+func (x *exchange) reject(status int, err error) {
+	x.conn.moveTo(finishing)
+	evBad.Log(status, err)
+	x.respond(status, []byte(err.Error()+"\n"), "Content-Type", "text/plain")
+}
+
+func (x *exchange) health(query string) {
+	f := x.conn.front
+	answer := func(good bool) {
+		if good {
+			x.respond(200, nil)
+		} else {
+			x.respond(503, nil)
+		}
+	}
+	v, _ := url.ParseQuery(query) // what can't be read sets nothing
+	if f.stored || f.checker == nil || v.Get("thorough") != "1" {
+		answer(f.good)
+		return
+	}
+	f.checker.Check(answer)
+}
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -3,17 +3,12 @@
 
 import (
 	"cmp"
-	"errors"
-	"fmt"
 	"log/slog"
 	"net/netip"
-	"net/url"
 	"slices"
 	"strconv"
-	"strings"
 
 	"shalesail/internal/core"
-	"shalesail/internal/fastcgi"
 	"shalesail/internal/logs"
 	"shalesail/internal/loop"
 )
@@ -38,6 +33,9 @@
 	takeWithin  = 10_000_000 // a peer takes what it is sent
 	firstWithin = 300_000    // what was taken from the queue as the front left brings its request by then
 	youngFor    = 100_000    // a connection that was just taken does not have to make room
+	partFor     = 500_000    // nor one on which a first request has begun to come
+	quietFor    = 1_000_000  // after leaving, for so long a connection is left only once nothing unread waits on it
+	queueFor    = 300_000    // after leaving, the listener is open for so long while callers wait in its queue
 	largeUnread = 8
 	roomFor     = 16      // connections that are closed at once when others wait
 	maxUnread   = 2 << 20 // parts of requests on all connections together
@@ -59,6 +57,7 @@
 	idle    int64
 	partial int // bytes of requests that have not come whole
 	leaving bool
+	leftAt  int64
 	retired bool // another process serves in its place
 	// What goes with answers.
 	pressure     string
@@ -124,19 +123,30 @@
 // SetIdle has connections closed that are idle for so long.
 func (f *Front) SetIdle(us int64) { f.idle = us }
 
-// Leave stops listening and closes each connection as it has no open request.
+// Leave stops listening and leaves each connection as it has no open request.
 func (f *Front) Leave() {
-	f.leaving = true
-	f.ln.Close()
+	f.leaving, f.leftAt = true, f.loop.Now()
+	f.ln.CloseWhenTaken(queueFor)
 	f.sweep()
 }
 
+// leavesAtOnce tells whether connections are left even if more has come on them: a peer that always sends has to be left some time.
+func (f *Front) leavesAtOnce() bool { return f.leaving && f.loop.Now()-f.leftAt > quietFor }
+
+// Finish ends all connections as the process is about to: what is queued is written as far as it goes, and what came is read
+// off, as unread bytes would reset the connection and take answers with it that the peer has not read.
+func (f *Front) Finish() {
+	for c := range f.conns {
+		c.FinishNow()
+	}
+}
+
 // Listens tells whether connections are still taken.
 func (f *Front) Listens() bool { return f.ln != nil && f.ln.Listens() }
 
 // Retire is Leave where another process serves as this runner: what this one says of its own room is not meant for it.
 func (f *Front) Retire() {
-	f.retired, f.pressure, f.leaving = true, "", true
+	f.retired, f.pressure, f.leaving, f.leftAt = true, "", true, f.loop.Now()
 	f.ln.HandOver()
 	f.sweep()
 }
@@ -150,7 +160,7 @@
 	return c
 }
 
-// sweep closes connections that are idle, or on which a request does not come whole, or answers are not taken.
+// sweep leaves connections that are idle, or on which a request does not come whole, or answers are not taken.
 func (f *Front) sweep() {
 	now := f.loop.Now()
 	if !f.leaving && f.ln.Over() { // its share became smaller
@@ -161,43 +171,60 @@
 		case c.IsClosed() || c.IsLeaving(): // that has a limit of its own
 		case c.Stuck() > takeWithin:
 			c.Close(loop.ErrPeerSlow)
-		case !c.asked && now-c.began > askWithin || c.late(now):
-			evIdle.Log()
-			c.Close(nil)
-		case len(c.open) == 0 && (f.leaving && (c.asked || now-c.began > firstWithin) || f.idle > 0 && now-c.used > f.idle):
+		case c.overdue(now):
+			f.giveUp(c)
+		case f.isIdle(c, now) && !c.HasPending(): // what came in this very moment is read first
 			c.Leave()
 		}
 	}
 }
 
-// late tells whether a request on the connection has begun and does not go on to its end. That something comes is not
-// enough: a peer that sends a byte now and then would hold its place for good.
-func (c *conn) late(now int64) bool {
-	for _, x := range c.open {
-		if !x.sent && now-x.began > readWithin {
-			return true
-		}
+// isIdle tells whether nothing goes on on a connection, for as long as one may rest.
+func (f *Front) isIdle(c *conn, now int64) bool {
+	if len(c.open) > 0 || c.partAt != 0 {
+		return false
+	}
+	return f.leaving && (c.asked || now-c.began > firstWithin) || f.idle > 0 && now-c.used > f.idle
+}
+
+// giveUp waits no longer for the rest of what has begun to come on a connection. Its other requests get their answers.
+func (f *Front) giveUp(c *conn) {
+	if !c.owed() {
+		evIdle.Log()
+		c.Close(nil)
+		return
+	}
+	if c.state != discarding && c.receiving() {
+		evIdle.Log()
+		c.refuseUnread()
+		c.discard()
 	}
-	return len(c.open) == 0 && len(c.Unread()) > 0 && now-c.used > readWithin
 }
 
-// makeRoom closes connections as others wait for their places: first those that have never asked for anything, then
-// those that have been idle for longest. One at a time would have each of those wait for a slow peer to close.
+// makeRoom closes connections as others wait for their places: first those that have never asked for anything, then those
+// that only began to ask, then those that have been idle for longest. One at a time would have each of those that wait
+// depend on a slow peer to close.
 func (f *Front) makeRoom() {
+	now := f.loop.Now()
 	var idle []*conn
 	for c := range f.conns {
-		silent := !c.asked && f.loop.Now()-c.began > youngFor
-		if !c.IsLeaving() && !c.IsClosed() && (silent || c.asked && len(c.open) == 0) {
+		if !c.IsLeaving() && !c.IsClosed() && mayGo(c, now) {
 			idle = append(idle, c)
 		}
 	}
 	slices.SortFunc(idle, func(a, b *conn) int {
-		if a.asked != b.asked {
-			return cmp.Compare(btoi(a.asked), btoi(b.asked))
-		}
-		return cmp.Compare(a.used, b.used)
+		return cmp.Or(cmp.Compare(btoi(a.asked), btoi(b.asked)), cmp.Compare(btoi(a.receiving()), btoi(b.receiving())),
+			cmp.Compare(a.used, b.used))
 	})
-	for _, c := range idle[:min(len(idle), roomFor)] {
+	gone := 0
+	for _, c := range idle {
+		if gone == roomFor {
+			return
+		}
+		if !c.receiving() && c.HasPending() { // a request came in this very moment
+			continue
+		}
+		gone++
 		if c.asked {
 			c.Leave()
 		} else {
@@ -206,6 +233,17 @@
 	}
 }
 
+// mayGo tells whether a connection may have to make room for another.
+func mayGo(c *conn, now int64) bool {
+	switch {
+	case c.asked:
+		return len(c.open) == 0 && c.partAt == 0
+	case c.receiving():
+		return now-c.began > partFor
+	}
+	return now-c.began > youngFor
+}
+
 func btoi(b bool) int {
 	if b {
 		return 1
@@ -213,8 +251,8 @@
 	return 0
 }
 
-// hold counts bytes of requests that have not come whole. When they are too many on all connections together, the
-// connection with the most of them goes: it is not one of those that send what they begin.
+// hold counts bytes of requests that have not come whole. When they are too many on all connections together, those of the
+// connection with the most of them are turned away: it is not one of those that send what they begin.
 func (f *Front) hold(n int) {
 	f.partial += n
 	if f.partial <= maxUnread {
@@ -228,372 +266,8 @@
 	}
 	if most != nil {
 		evUnfinished.Log(most.partial)
-		most.forget()
-		most.Close(nil)
-	}
-}
-
-// conn is one connection of a balancer.
-type conn struct {
-	*loop.Conn
-	front   *Front
-	open    map[uint16]*exchange
-	partial int   // bytes of requests that have not come whole
-	began   int64 // when it was taken
-	used    int64 // when something last came or was answered
-	asked   bool  // a whole request has come
-	ended   bool  // the peer sends no more
-	last    bool  // the connection closes after its answers
-}
-
-// forget gives back what is held of requests that have not come whole.
-func (c *conn) forget() {
-	for _, x := range c.open {
-		x.forget()
-	}
-}
-
-// owed tells whether an answer is still to go out on the connection.
-func (c *conn) owed() bool {
-	for _, x := range c.open {
-		if x.sent {
-			return true
-		}
-	}
-	return false
-}
-
-// exchange is one request on a connection, from its begin to its end.
-type exchange struct {
-	conn   *conn
-	id     uint16
-	keep   bool
-	params []byte
-	body   []byte
-	whole  bool // the parameters are
-	sent   bool // it was handed to the core
-	began  int64
-	ticket core.Ticket
-}
-
-// forget gives back the parts of a request.
-func (x *exchange) forget() {
-	n := len(x.params) + len(x.body)
-	x.params, x.body = nil, nil
-	x.conn.partial -= n
-	x.conn.front.partial -= n
-}
-
-// add takes a further part of a request.
-func (x *exchange) add(to *[]byte, part []byte) {
-	*to = append(*to, part...)
-	x.conn.partial += len(part)
-	x.conn.front.hold(len(part))
-}
-
-// Connected implements loop.Handler.
-func (c *conn) Connected() {}
-
-// Data implements loop.Handler.
-func (c *conn) Data(b []byte) (used int, err error) {
-	for !c.IsClosed() {
-		rec, n, err := fastcgi.Read(b[used:], maxRecord)
-		if err != nil {
-			evBadRecord.Log(err)
-			return used, err
-		}
-		if n == 0 {
-			return used, nil
-		}
-		used += n
-		c.used = c.front.loop.Now()
-		if err := c.record(rec); err != nil {
-			evBadRecord.Log(err)
-			return used, err
-		}
-		if c.IsLeaving() { // what comes now is not read any more
-			return len(b), nil
-		}
-	}
-	return used, nil
-}
-
-// End implements loop.Handler. A peer may stop sending and still wait for its answers.
-func (c *conn) End() bool {
-	c.ended = true
-	return c.owed()
-}
-
-// Closed implements loop.Handler.
-func (c *conn) Closed(err error) {
-	if errors.Is(err, loop.ErrPeerSlow) {
-		evSlow.Log(len(c.open), err)
-	}
-	c.forget()
-	delete(c.front.conns, c)
-	open := c.open
-	c.open = nil
-	for _, x := range open {
-		if x.sent {
-			c.front.core.Abandon(x.ticket)
-		}
-	}
-}
-
-func (c *conn) record(rec fastcgi.Record) error {
-	if rec.ID == 0 {
-		return c.manage(rec)
-	}
-	x := c.open[rec.ID]
-	switch {
-	case rec.Type == fastcgi.BeginRequest && x == nil:
-		return c.begin(rec)
-	case rec.Type == fastcgi.BeginRequest:
-		return fmt.Errorf("request %d begins twice", rec.ID)
-	case x == nil: // of a request that is over
-	case rec.Type == fastcgi.AbortRequest:
-		x.abort()
-	case rec.Type == fastcgi.Params && !x.whole:
-		if x.whole = len(rec.Content) == 0; len(x.params)+len(rec.Content) > maxParams {
-			return errors.New("parameters over their limit")
-		}
-		x.add(&x.params, rec.Content)
-	case rec.Type == fastcgi.Stdin && x.whole && !x.sent:
-		switch {
-		case len(rec.Content) == 0:
-			x.read()
-		case len(x.body)+len(rec.Content) > maxBody: // its end may never come
-			x.sent = true
-			x.reject(413, errors.New("body over its limit"))
-		default:
-			x.add(&x.body, rec.Content)
-		}
-	}
-	return nil
-}
-
-// manage answers records that are about the connection. Those of unknown types get told so.
-func (c *conn) manage(rec fastcgi.Record) error {
-	if rec.Type != fastcgi.GetValues {
-		c.last = true
-		c.Write(fastcgi.Append(nil, fastcgi.UnknownType, 0, []byte{rec.Type, 0, 0, 0, 0, 0, 0, 0}))
-		return nil
-	}
-	var out []byte
-	err := fastcgi.ReadPairs(rec.Content, func(name, _ string) {
-		switch name {
-		case "FCGI_MAX_CONNS", "FCGI_MAX_REQS":
-			out = fastcgi.AppendPair(out, name, strconv.Itoa(maxOpen))
-		case "FCGI_MPXS_CONNS":
-			out = fastcgi.AppendPair(out, name, "1")
-		}
-	})
-	c.Write(fastcgi.Append(nil, fastcgi.GetValuesResult, 0, out))
-	return err
-}
-
-func (c *conn) begin(rec fastcgi.Record) error {
-	v, err := fastcgi.ReadBegin(rec.Content)
-	switch {
-	case err != nil:
-		return err
-	case v.Role != fastcgi.Responder:
-		c.last = true
-		c.Write(fastcgi.AppendEnd(nil, rec.ID, 0, fastcgi.UnknownRole))
-	case len(c.open) >= maxOpen:
-		c.Write(fastcgi.AppendEnd(nil, rec.ID, 0, fastcgi.Overloaded))
-	default:
-		c.open[rec.ID] = &exchange{conn: c, id: rec.ID, keep: v.Keep, began: c.front.loop.Now()}
-	}
-	return nil
-}
-
-// abort ends a request for which nobody waits. What runs goes on; the core keeps its key.
-func (x *exchange) abort() {
-	if x.sent {
-		x.conn.front.core.Withdraw(x.ticket)
-	}
-	x.end(nil)
-}
-
-// end writes the last records of a request and forgets it.
-func (x *exchange) end(out []byte) {
-	c := x.conn
-	if c.open[x.id] != x {
-		return
-	}
-	x.forget()
-	delete(c.open, x.id)
-	c.used = c.front.loop.Now()
-	c.Write(fastcgi.AppendEnd(out, x.id, 0, fastcgi.RequestComplete))
-	c.last = c.last || !x.keep
-	if (c.last || c.ended || c.front.leaving) && !c.owed() {
-		c.Leave()
-	}
-}
-
-// respond writes a whole answer. Fields come in pairs of name and value.
-func (x *exchange) respond(status int, body []byte, fields ...string) {
-	out := make([]byte, 0, 256+len(body))
-	out = append(out, "Status: "+strconv.Itoa(status)+"\r\n"...)
-	if p := x.conn.front.pressure; p != "" {
-		fields = append(fields, "X-Pressure", p)
-	}
-	for i := 0; i < len(fields); i += 2 {
-		out = append(out, fields[i]+": "+fields[i+1]+"\r\n"...)
-	}
-	out = append(append(out, "\r\n"...), body...)
-	recs := fastcgi.Append(make([]byte, 0, len(out)+64), fastcgi.Stdout, x.id, out)
-	x.end(fastcgi.Append(recs, fastcgi.Stdout, x.id, nil))
-}
-
-// Answer implements core.Asker.
-func (x *exchange) Answer(a core.Answer) {
-	switch a.Kind {
-	case core.Served:
-		fields := make([]string, 0, 2*len(a.Result.Fields)+2)
-		for _, f := range a.Result.Fields {
-			fields = append(fields, f.Name, f.Value)
-		}
-		x.respond(a.Result.Status, a.Result.Body, fields...)
-	case core.Refused:
-		var fields []string
-		if a.ComeBack > 0 {
-			fields = append(fields, "X-Come-Back-Ms", strconv.FormatInt((a.ComeBack+999)/1000, 10))
-		}
-		if a.Last {
-			fields = append(fields, "X-No-Failover", "1")
-		}
-		x.respond(503, nil, fields...)
-	case core.Late:
-		x.respond(504, nil)
-	case core.Misused:
-		x.reject(422, errors.New(a.Reason.String()))
-	case core.Ran:
-		x.respond(409, []byte("it ran, and its result was not kept\n"), "Content-Type", "text/plain")
-	case core.Foreign:
-		x.reject(404, errors.New("nobody here knows this request"))
-	default:
-		x.respond(500, nil)
-	}
-}
-
-// read takes over a request whose last byte has come.
-func (x *exchange) read() {
-	x.sent, x.conn.asked = true, true
-	f := x.conn.front
-	p := map[string]string{}
-	var meta []core.Field
-	var twice error
-	err := fastcgi.ReadPairs(x.params, func(name, value string) {
-		// The core goes by one value, and a server behind might go by the other.
-		if old, known := p[name]; known {
-			if old != value {
-				twice = fmt.Errorf("%s is given twice, as %q and %q", name, old, value)
-			}
-			return
-		}
-		p[name] = value
-		meta = append(meta, core.Field{Name: name, Value: value})
-	})
-	if err = cmp.Or(err, twice); err != nil {
-		x.reject(400, err)
-		return
-	}
-	body := x.body
-	x.forget()
-	path := p["SCRIPT_NAME"]
-	if path == healthPath {
-		x.health(p["QUERY_STRING"])
-		return
-	}
-	q, err := f.request(p, path)
-	switch {
-	case errors.Is(err, errDropped): // its balancer has not heard of it yet, and its other requests are as good as ever
-		x.respond(404, []byte(err.Error()+"\n"), "Content-Type", "text/plain")
-	case err != nil:
-		x.reject(400, err)
-	case p["CONTENT_LENGTH"] != "" && p["CONTENT_LENGTH"] != strconv.Itoa(len(body)):
-		x.reject(400, fmt.Errorf("CONTENT_LENGTH %q, and a body of %d bytes", p["CONTENT_LENGTH"], len(body)))
-	default:
-		q.Body, q.Meta, q.Asker = body, meta, x
-		x.ticket = f.core.Submit(q)
-	}
-}
-
-// reject answers what can't be taken for a request of a balancer. Its connection takes no more: the next would be as
-// bad, and a peer that sends the same again as soon as it is answered would keep the loop busy with nothing else.
-func (x *exchange) reject(status int, err error) {
-	x.conn.last = true
-	evBad.Log(status, err)
-	x.respond(status, []byte(err.Error()+"\n"), "Content-Type", "text/plain")
-}
-
-func (x *exchange) health(query string) {
-	f := x.conn.front
-	answer := func(good bool) {
-		if good {
-			x.respond(200, nil)
-		} else {
-			x.respond(503, nil)
-		}
-	}
-	v, _ := url.ParseQuery(query) // what can't be read sets nothing
-	if f.stored || f.checker == nil || v.Get("thorough") != "1" {
-		answer(f.good)
-		return
-	}
-	f.checker.Check(answer)
-}
-
-// errDropped is that of a request of a class that was dropped a while ago.
-var errDropped = errors.New("the class is not served any more")
-
-const maxAhead = 1000 // milliseconds by which a balancer's clock may be ahead
-
-// request reads the fields of a request.
-func (f *Front) request(p map[string]string, path string) (*core.Request, error) {
-	q := &core.Request{Name: p["HTTP_X_CALL_ID"], Key: p["HTTP_X_DEDUPE_KEY"]}
-	var ok bool
-	if q.Class, ok = f.core.Class(strings.TrimPrefix(path, opsPrefix)); !ok || !strings.HasPrefix(path, opsPrefix) {
-		if f.core.Dropped(strings.TrimPrefix(path, opsPrefix)) {
-			return nil, errDropped
-		}
-		return nil, fmt.Errorf("no class at %q", path)
-	}
-	if p["REQUEST_METHOD"] != "POST" {
-		return nil, fmt.Errorf("method %q", p["REQUEST_METHOD"])
-	}
-	if _, err := strconv.ParseUint(q.Name, 16, 64); err != nil || len(q.Name) != 16 {
-		return nil, fmt.Errorf("X-Call-Id %q is not 16 hex digits", q.Name)
-	}
-	if q.Tenant, ok = f.core.Tenant(p["HTTP_X_CUSTOMER"]); !ok {
-		return nil, fmt.Errorf("unknown X-Customer %q", p["HTTP_X_CUSTOMER"])
-	}
-	if f.core.Keyed(q.Class) && q.Key == "" {
-		return nil, errors.New("no X-Dedupe-Key in a keyed class")
-	}
-	ms, err := strconv.ParseInt(p["HTTP_X_QUEUE_START"], 10, 64)
-	// A key is remembered for its window from that time on: one far ahead would be remembered for ever.
-	if err != nil || ms <= 0 || ms > f.loop.Unix()/1000+maxAhead {
-		return nil, fmt.Errorf("X-Queue-Start %q", p["HTTP_X_QUEUE_START"])
-	}
-	q.Arrived = ms * 1000
-	source, err := strconv.ParseUint(p["HTTP_X_SOURCE"], 10, 32)
-	if err != nil {
-		return nil, fmt.Errorf("X-Source %q", p["HTTP_X_SOURCE"])
-	}
-	q.Caller = uint32(source)
-	if q.SizeKB, err = strconv.ParseFloat(p["HTTP_X_HEAP_KB"], 64); err != nil || !(q.SizeKB > 0 && q.SizeKB < 2000) {
-		return nil, fmt.Errorf("X-Heap-Kb %q", p["HTTP_X_HEAP_KB"])
-	}
-	if q.Rank, err = strconv.ParseFloat(p["HTTP_X_IMPORTANCE"], 64); err != nil || !(q.Rank >= 0 && q.Rank < 1) {
-		return nil, fmt.Errorf("X-Importance %q", p["HTTP_X_IMPORTANCE"])
-	}
-	if e := p["HTTP_X_ENTITY"]; e != "" {
-		if q.Subject, err = strconv.ParseUint(e, 16, 64); err != nil {
-			return nil, fmt.Errorf("X-Entity %q", e)
-		}
+		most.refuseUnread()
+		most.moveTo(finishing)
+		most.leaveIfDone()
 	}
-	return q, nil
 }
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -276,11 +276,26 @@
 	if c.closed || c.ended || len(c.in) > 0 {
 		return false
 	}
-	var b [1]byte
-	_, _, err := unix.Recvfrom(c.fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	_, err := c.peek()
 	return err == unix.EAGAIN
 }
 
+// HasPending tells whether bytes wait in the system that the loop has not read yet, as they came in this very turn.
+func (c *Conn) HasPending() bool {
+	if c.closed || c.ended {
+		return false
+	}
+	n, _ := c.peek()
+	return n > 0
+}
+
+// peek looks at the next byte without taking it.
+func (c *Conn) peek() (n int, err error) {
+	var b [1]byte
+	n, _, err = unix.Recvfrom(c.fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return n, err
+}
+
 // Peer is the address that the connection was dialled to or came from; not valid on a unix socket.
 func (c *Conn) Peer() netip.AddrPort { return c.peer }
 
@@ -386,6 +401,23 @@
 	c.touch()
 }
 
+// FinishNow is Leave for a process that ends at once: what the peer takes now of what is queued goes out, the own side is shut,
+// and what has come is read off.
+func (c *Conn) FinishNow() {
+	if c.closed || c.opening {
+		return
+	}
+	if c.flush(); c.closed {
+		return
+	}
+	_ = unix.Shutdown(c.fd, unix.SHUT_WR) // it fails where the peer has reset the connection
+	for range maxDropped / readChunk {
+		if n, err := unix.Read(c.fd, c.loop.scratch); n <= 0 || err != nil {
+			return
+		}
+	}
+}
+
 // shut ends the own side of a connection that was left and whose last byte is out.
 func (c *Conn) shut() {
 	c.last.Stop()
--- a/internal/loop/listen.go
+++ b/internal/loop/listen.go
@@ -128,11 +128,14 @@
 
 // acceptUpTo takes in so many of those that wait in the queue, as far as there is room.
 func (ln *Listener) acceptUpTo(most int) {
-	for range most {
+	for taken := range most {
 		if ln.fd < 0 {
 			return
 		}
 		if ln.open >= ln.most {
+			if taken > 0 && !ln.ending && !ln.waiting() { // nobody needs room yet
+				return
+			}
 			ln.pause()
 			if ln.full != nil {
 				ln.full()
@@ -163,6 +166,13 @@
 	}
 }
 
+// waiting tells whether somebody waits in the queue.
+func (ln *Listener) waiting() bool {
+	fds := []unix.PollFd{{Fd: int32(ln.fd), Events: unix.POLLIN}}
+	n, _ := unix.Poll(fds, 0) // where it fails, whoever waits is noticed in the next turn
+	return n > 0
+}
+
 func (ln *Listener) take(fd int, from unix.Sockaddr) {
 	if ln.path == "" {
 		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
