A call on a connection that never stood was not sent; reports outlive a want of descriptors; a drain keeps its grace

Nothing is sent before a connection stands: it ends as a call that nobody took, and is placed anew. - roster.go Start ended the program for want of a socket, and Move kept the old address for good where the descriptors were filled as the roster moved. - core.go Configure: a HUP during a drain put another grace under a notice that was given before. Ruled out: calls on connections that stand (they prove nothing), moves to the same address.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -235,7 +235,7 @@
 	}
 	if cfg.Roster.IsValid() {
 		if r.roster, err = roster.Start(l, cfg.Roster, cfg.Name); err != nil {
-			return nil, err
+			evRoster.Log(err)
 		}
 	}
 	r.core.Start()
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -3,9 +3,11 @@
 package backend
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 
 	"shalesail/internal/core"
 	"shalesail/internal/httpmsg"
@@ -73,15 +75,40 @@
 }
 
 // Move places calls at another address from now on. Those that are out may end where they are; a connection to the
-// old address carries no further one.
+// old address carries no further one. A call whose connection does not stand yet was not sent, and ends as one that
+// nobody took: the old address may never answer.
 func (p *Pool) Move(addr netip.AddrPort) {
-	if p.addr = addr; len(p.idle) > 0 {
-		idle := p.idle
-		p.idle = nil
-		for _, n := range idle {
-			n.lc.Close(nil)
+	if addr == p.addr {
+		return
+	}
+	p.addr = addr
+	idle := p.idle
+	p.idle = nil
+	for _, n := range idle {
+		n.lc.Close(nil)
+	}
+	var unsent []*call // the end of one may place another
+	for _, c := range p.calls {
+		if c.unsent() {
+			unsent = append(unsent, c)
 		}
 	}
+	slices.SortFunc(unsent, func(a, b *call) int { return cmp.Compare(a.number, b.number) })
+	for _, c := range unsent {
+		p.end(c, core.Unreachable, nil)
+	}
+}
+
+// unsent tells whether nothing of a call can have reached the back end.
+func (c *call) unsent() bool { return c.conn != nil && c.conn.call == c && c.conn.lc.IsOpening() }
+
+// outOfTime ends a call whose time is up.
+func (p *Pool) outOfTime(c *call) {
+	if c.unsent() {
+		p.end(c, core.Unreachable, nil)
+		return
+	}
+	p.end(c, core.TimedOut, nil)
 }
 
 // Call implements core.Dependency.
@@ -90,7 +117,7 @@
 	p.last++
 	c := &call{attempt: a, number: p.last, began: p.loop.Now()}
 	p.calls[a] = c
-	c.timer = p.loop.After(patience, func() { p.end(c, core.TimedOut, nil) })
+	c.timer = p.loop.After(patience, func() { p.outOfTime(c) })
 	if a.Safe {
 		c.conn = p.take()
 	} else if p.open >= maxConns {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -311,6 +311,9 @@
 	if err != nil {
 		return set, err
 	}
+	if c.drainAt != 0 { // the notice was given under the grace of then
+		set.DrainGrace = c.set.DrainGrace
+	}
 	if err := c.gate.module.Configure(set); err != nil {
 		return set, err
 	}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -168,6 +168,24 @@
 		core expect nothing`, map[string]scenario.Actor{"core": c})
 }
 
+// A HUP during a drain does not lengthen the grace under which the notice was given.
+func TestSettingsChangeDuringADrain(t *testing.T) {
+	c := newTableAt(t, func(s *shalesail.Settings) { s.DrainGrace = time.Second })
+	c.Drain(5_000_000)
+	set := c.set
+	set.DrainGrace = 4 * time.Second
+	if _, err := c.Configure(set); err != nil {
+		t.Fatal(err)
+	}
+	scenario.Play(t, `
+		core send pass 900
+		core send ask 1 check
+		core expect run 1
+		core send pass 200
+		core send ask 2 check
+		core expect answer 2 refused`, map[string]scenario.Actor{"core": c})
+}
+
 // newTableBeside is the table of one of several processes of a runner.
 func newTableBeside(t *testing.T, tries int, claims Claims, life uint64) *table {
 	t.Helper()
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -316,6 +316,9 @@
 	return c.loop.now - c.stuck
 }
 
+// IsOpening tells whether a dialled connection does not stand yet, so that nothing was sent on it.
+func (c *Conn) IsOpening() bool { return c.opening && !c.closed }
+
 // IsClosed tells whether the descriptor has been given back.
 func (c *Conn) IsClosed() bool { return c.closed }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -14,33 +14,43 @@
 // Reporter owns the socket of the reports.
 type Reporter struct {
 	loop   *loop.Loop
-	socket *loop.Datagram
+	addr   netip.AddrPort
+	socket *loop.Datagram // nil: none could be had yet
+	moved  bool           // the socket leads to an address that the roster has left
 	name   string
 	state  string
 	over   bool
 }
 
-// Start reports at once and from then on.
+// Start reports at once and from then on. Where no socket can be had, as without a route or a descriptor, each report tries
+// again: a runner that serves is worth more than one that ended for want of its registration.
 func Start(l *loop.Loop, addr netip.AddrPort, name string) (*Reporter, error) {
-	s, err := l.Datagram(addr)
-	if err != nil {
-		return nil, err
-	}
-	r := &Reporter{loop: l, socket: s, name: name, state: "on"}
+	r := &Reporter{loop: l, addr: addr, name: name, state: "on"}
+	err := r.open()
 	r.report()
 	l.Every(every, r.report)
-	return r, nil
+	return r, err
 }
 
-// Move reports to another address from now on. Where no socket can be had the old one is kept, and the error told.
+// Move reports to another address from now on. Where no socket can be had the old one is used until there is one, and the
+// error is told.
 func (r *Reporter) Move(addr netip.AddrPort) error {
-	s, err := r.loop.Datagram(addr)
+	r.addr, r.moved = addr, r.socket != nil
+	err := r.open()
+	r.report()
+	return err
+}
+
+// open takes a socket to the address of now, in place of the one before.
+func (r *Reporter) open() error {
+	s, err := r.loop.Datagram(r.addr)
 	if err != nil {
 		return err
 	}
-	r.socket.Close()
-	r.socket = s
-	r.report()
+	if r.socket != nil {
+		r.socket.Close()
+	}
+	r.socket, r.moved = s, false
 	return nil
 }
 
@@ -61,7 +71,13 @@
 
 // report sends one datagram. One that is lost is made good by the next.
 func (r *Reporter) report() {
-	if !r.over {
+	if r.over {
+		return
+	}
+	if r.socket == nil || r.moved {
+		_ = r.open() // it was told when it first failed; the next report tries again
+	}
+	if r.socket != nil {
 		_ = r.socket.Send([]byte("HERE " + r.name + " " + r.state))
 	}
 }
