Descriptors are shared out, so that engine, roster, back end and door have theirs while callers fill theirs

Seen by reading: the front took five eighths of the descriptors and the back end's pool up to 64 whatever the limit, so that with 96 sockets callers and calls together may want 157, and calls, a moved engine or roster got none. Change: one place shares them out; balancers have the half that the platform lets them open, five eighths where enough is left, and the pool what is left after what is kept back. Limits of 256 sockets and more are as before.

--- /dev/null
+++ b/cmd/ryepaddle/crossing_test.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"shalesail/internal/fastcgi"
+	"shalesail/internal/scenario"
+)
+
+// nobody is an address of the roster at which nobody hears reports.
+func nobody(t testing.TB) string {
+	t.Helper()
+	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	return c.LocalAddr().String()
+}
+
+// Idle clients take all the descriptors that they may while the roster is down: the links to engine, back end and roster can
+// still be opened anew, the operators' door answers, and a call from a live client gets through.
+func TestDescriptorsAreKeptBack(t *testing.T) {
+	t.Parallel()
+	const sockets = 96
+	engine, before, after := scenario.NewEngine(t), scenario.NewBackend(t), scenario.NewBackend(t)
+	p := launch(t, map[string]any{"ops": "127.0.0.1:0", "engine": engine.Listener.Addr().String(), "backend": before.Listener.Addr().String(),
+		"roster": nobody(t), "limits": map[string]any{"memory_mb": 64, "sockets": sockets}}, "")
+	if err := unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: sockets, Max: sockets}, nil); err != nil {
+		t.Fatal(err)
+	}
+	scenario.Play(t, "engine expect ATTACH 0", map[string]scenario.Actor{"engine": engine})
+	ask := fastcgi.AppendBegin(nil, 1, fastcgi.Begin{Role: fastcgi.Responder, Keep: true})
+	ask = fastcgi.Append(ask, fastcgi.Params, 1, fastcgi.AppendPair(nil, "SCRIPT_NAME", "/alive"))
+	ask = fastcgi.Append(fastcgi.Append(ask, fastcgi.Params, 1, nil), fastcgi.Stdin, 1, nil)
+	for range 2 * sockets { // each of them asks once, and then rests
+		c, err := net.Dial("tcp", p.listen["platform"])
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if _, err := c.Write(ask); err != nil {
+			t.Fatal(err)
+		}
+	}
+	p.elsewhere = map[string]any{"engine": engine.Elsewhere(t), "backend": after.Listener.Addr().String(), "roster": nobody(t)}
+	actors := map[string]scenario.Actor{"engine": engine, "runner": p, "backend": after,
+		"balancer": scenario.NewBalancer(t, p.listen["platform"], false)}
+	scenario.Play(t, `
+		runner send HUP move
+		engine expect ATTACH 0
+		balancer send 1 hand-in key=a body=code
+		engine expect RUN 1 hand-in code
+		engine send need 1 sql
+		backend expect call 1 sql
+		backend send 200 row
+		engine expect FEED 1 row
+		engine send done 1 fine graded
+		balancer expect 1 200 graded`, actors)
+	if status, body := p.door("/ops/readiness"); status != 200 {
+		t.Errorf("readiness says %d %s", status, body)
+	}
+}
+
+// Twenty runners are killed in the same moment, with a request in flight each, and are started again under their names and
+// addresses while the roster is down. The operators want nine in ten ready within 10 s, and no one ready that serves nobody.
+func TestKilledRunnersAreReadySoon(t *testing.T) {
+	const (
+		runners = 20
+		within  = 10 * time.Second
+		wanted  = runners * 9 / 10
+	)
+	type restarted struct {
+		engine  *scenario.Engine
+		change  map[string]any
+		process *program
+	}
+	fleet := make([]restarted, runners)
+	roster := nobody(t)
+	for i := range fleet {
+		engine := scenario.NewEngine(t)
+		addr := engine.Listener.Addr().String()
+		change := map[string]any{"name": fmt.Sprint("n", i), "ops": "127.0.0.1:0", "engine": addr, "backend": addr, "roster": roster, "stop_ms": 30000}
+		p := launch(t, change, "")
+		scenario.Play(t, `
+			engine expect ATTACH 0
+			balancer send 1 full-check
+			engine expect RUN 1 full-check`,
+			map[string]scenario.Actor{"engine": engine, "balancer": scenario.NewBalancer(t, p.listen["platform"], false)})
+		change["listen"], change["ops"] = p.listen["platform"], p.listen["ops"]
+		fleet[i] = restarted{engine, change, p}
+	}
+	for i := range fleet {
+		if err := fleet[i].process.cmd.Process.Signal(syscall.SIGKILL); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range fleet {
+		<-fleet[i].process.ended
+	}
+	began := time.Now()
+	for i := range fleet {
+		fleet[i].process = begin(t, fleet[i].change, "")
+	}
+	took := make([]time.Duration, runners)
+	var wait sync.WaitGroup
+	for i := range fleet {
+		p := fleet[i].process
+		p.awaitListening(t)
+		wait.Go(func() {
+			for status, _ := p.door("/ops/readiness"); status != 200; status, _ = p.door("/ops/readiness") {
+				time.Sleep(10 * time.Millisecond)
+			}
+			took[i] = time.Since(began)
+		})
+	}
+	wait.Wait()
+	soon := 0
+	for i := range fleet {
+		if took[i] <= within {
+			soon++
+		}
+		// What ran for the process before is nobody's any more, and the next request is served.
+		scenario.Play(t, `
+			engine expect ATTACH 0
+			engine send done 1 fine old
+			balancer send 2 quick-check
+			engine expect RUN 2 quick-check
+			engine send done 2 fine ok
+			balancer expect 2 200 ok`,
+			map[string]scenario.Actor{"engine": fleet[i].engine, "balancer": scenario.NewBalancer(t, fleet[i].process.listen["platform"], false)})
+	}
+	t.Logf("%d of %d ready within %v: %v", soon, runners, within, took)
+	if soon < wanted {
+		t.Errorf("%d of %d are ready within %v: %v", soon, runners, within, took)
+	}
+}
--- a/cmd/ryepaddle/main_test.go
+++ b/cmd/ryepaddle/main_test.go
@@ -49,12 +49,13 @@
 
 // program is the runner as it was started for a test.
 type program struct {
-	cmd    *exec.Cmd
-	listen map[string]string // platform and uwsgi: where it listens
-	exit   chan error        // how it ended, for one who asks
-	ended  chan struct{}     // closed when the system has taken back all that it had
-	mu     sync.Mutex
-	lines  []string
+	cmd     *exec.Cmd
+	listen  map[string]string // platform and uwsgi: where it listens
+	exit    chan error        // how it ended, for one who asks
+	started chan struct{}     // closed when it listens
+	ended   chan struct{}     // closed when the system has taken back all that it had
+	mu      sync.Mutex
+	lines   []string
 
 	inventory string
 	operator  string            // its file
@@ -82,6 +83,24 @@
 
 // launch starts the program with the example's configuration, changed, and the operator's file, if any.
 func launch(t testing.TB, change map[string]any, operator string) *program {
+	t.Helper()
+	p := begin(t, change, operator)
+	p.awaitListening(t)
+	return p
+}
+
+// awaitListening waits until the program listens on all that it was told to.
+func (p *program) awaitListening(t testing.TB) {
+	t.Helper()
+	select {
+	case <-p.started:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the program does not start: " + p.log())
+	}
+}
+
+// begin is launch without waiting until the program listens.
+func begin(t testing.TB, change map[string]any, operator string) *program {
 	t.Helper()
 	cfg := example(t)
 	cfg["listen"] = "127.0.0.1:0"
@@ -118,7 +137,7 @@
 			t.Fatal(err)
 		}
 	}
-	p := &program{cmd: exec.Command(binary, args...), listen: map[string]string{}, exit: make(chan error, 1), ended: make(chan struct{}),
+	p := &program{cmd: exec.Command(binary, args...), listen: map[string]string{}, exit: make(chan error, 1), ended: make(chan struct{}), started: make(chan struct{}),
 		config: filepath.Join(dir, "config.json"), cfg: cfg, operator: operator}
 	p.cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+p.config, "TMPDIR="+tmp)
 	r, err := p.cmd.StderrPipe()
@@ -128,19 +147,13 @@
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	started := make(chan struct{})
-	go p.follow(bufio.NewScanner(r), want, started)
+	go p.follow(bufio.NewScanner(r), want, p.started)
 	t.Cleanup(func() {
 		p.Close()
 		if t.Failed() {
 			t.Log("the program's log:\n" + p.log())
 		}
 	})
-	select {
-	case <-started:
-	case <-time.After(20 * time.Second):
-		t.Fatal("the program does not start: " + p.log())
-	}
 	return p
 }
 
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -229,6 +229,7 @@
 	if err != nil {
 		return nil, err
 	}
+	r.pool.SetMost(shareDescriptors(cfg, op).backend)
 	r.pool.Start(r.core)
 	if cfg.Engine.IsValid() {
 		r.link.Start(r.core)
@@ -427,7 +428,6 @@
 	}
 	cfg.Seed = r.cfg.Seed
 	limitMemory(cfg, r.parts)
-	r.front.SetMost(mostBalancers(cfg) / r.parts)
 	r.link.Move(cfg.Engine)
 	r.pool.Move(cfg.Backend)
 	r.cfg = cfg
@@ -465,14 +465,11 @@
 		r.watchList(op)
 		r.op, servers = op, len(op.Servers)
 	}
+	r.takeDescriptors()
 	evTaken.Log(cfg.Engine, cfg.Backend, cfg.Roster, servers)
 	return nil
 }
 
-// mostBalancers is how many connections the platform's front takes. Balancers may open half the descriptors; the rest
-// is for the links, the calls and the operator's front.
-func mostBalancers(cfg *config.Platform) int { return cfg.Sockets * 5 / 8 }
-
 func (r *Program) health(stored, good bool) {
 	r.front.SetHealth(stored, good)
 	if r.second != nil {
--- a/internal/app/beside.go
+++ b/internal/app/beside.go
@@ -85,12 +85,19 @@
 // share takes the part of the limits that is this process's own: together the processes have what one has.
 func (r *Program) share() {
 	limitMemory(r.cfg, r.parts)
-	r.front.SetMost(mostBalancers(r.cfg) / r.parts)
+	r.takeDescriptors()
 	if _, err := r.core.Configure(r.part(r.cfg.Settings)); err != nil { // those in force were taken, and a part of them differs in figures alone
 		evNotTaken.Log(err)
 	}
 }
 
+// takeDescriptors divides the descriptors of this process anew.
+func (r *Program) takeDescriptors() {
+	shares := shareDescriptors(r.cfg, r.op)
+	r.front.SetMost(shares.balancers / r.parts)
+	r.pool.SetMost(max(shares.backend/r.parts, leastBackend))
+}
+
 // part is what of the settings is this process's own.
 func (r *Program) part(s shalesail.Settings) shalesail.Settings {
 	n := float64(r.parts)
@@ -114,7 +121,7 @@
 	if r.leaving {
 		return nil
 	}
-	if err := r.front.Listen(r.cfg.Listen, mostBalancers(r.cfg)/r.parts, r.core); err != nil {
+	if err := r.front.Listen(r.cfg.Listen, shareDescriptors(r.cfg, r.op).balancers/r.parts, r.core); err != nil {
 		return err
 	}
 	r.listens = true
--- a/internal/app/beside_test.go
+++ b/internal/app/beside_test.go
@@ -87,15 +87,15 @@
 	other := started(t, func(cfg *config.Platform) { cfg.Name = "n1" }) // of another runner
 	expect(other, 1)
 	one.on(func() {
-		if most := one.front.Most(); most != mostBalancers(one.cfg)/2 {
-			t.Errorf("one of two takes %d connections, of %d", most, mostBalancers(one.cfg))
+		if most := one.front.Most(); most != shareDescriptors(one.cfg, nil).balancers/2 {
+			t.Errorf("one of two takes %d connections, of %d", most, shareDescriptors(one.cfg, nil).balancers)
 		}
 	})
 	two.on(two.claims.Close) // as its death does
 	expect(one, 1)
 	one.on(func() {
-		if most := one.front.Most(); most != mostBalancers(one.cfg) {
-			t.Errorf("alone again it takes %d connections, of %d", most, mostBalancers(one.cfg))
+		if most := one.front.Most(); most != shareDescriptors(one.cfg, nil).balancers {
+			t.Errorf("alone again it takes %d connections, of %d", most, shareDescriptors(one.cfg, nil).balancers)
 		}
 	})
 }
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -14,8 +14,10 @@
 	"shalesail/internal/loop"
 )
 
+// MostConns is how many connections a pool opens at once, unless it is told of fewer.
+const MostConns = 64
+
 const (
-	maxConns  = 64
 	maxIdle   = 8
 	keepIdle  = 2_000_000 // the back end closes at 10 s or earlier; a call that crosses such a close proves nothing
 	sweepIdle = 500_000
@@ -34,6 +36,7 @@
 	calls map[*core.Attempt]*call
 	idle  []*conn // the one used last is at the end
 	open  int
+	most  int     // connections at once
 	last  int64   // number of the last call
 	mean  float64 // microseconds that a call took of late
 }
@@ -60,9 +63,12 @@
 
 // New makes a pool for the back end at addr.
 func New(l *loop.Loop, addr netip.AddrPort) *Pool {
-	return &Pool{loop: l, addr: addr, calls: map[*core.Attempt]*call{}}
+	return &Pool{loop: l, addr: addr, most: MostConns, calls: map[*core.Attempt]*call{}}
 }
 
+// SetMost says how many connections may be open at once from now on. Those that are open stay.
+func (p *Pool) SetMost(most int) { p.most = min(most, MostConns) }
+
 // Start names where the ends of calls go.
 func (p *Pool) Start(sink Sink) {
 	p.sink = sink
@@ -120,14 +126,14 @@
 	c.timer = p.loop.After(patience, func() { p.outOfTime(c) })
 	if a.Safe {
 		c.conn = p.take()
-	} else if p.open >= maxConns {
+	} else if p.open >= p.most {
 		p.drop()
 	}
 	// A connection that was idle may be dead without a sign, and that it breaks under the call proves nothing. Where the
 	// call may be made again that costs a little time; one with an effect would be lost, and gets a fresh connection.
 	if c.conn != nil {
 		// it stands
-	} else if p.open < maxConns {
+	} else if p.open < p.most {
 		c.conn = &conn{pool: p, addr: p.addr}
 		p.open++
 		c.conn.lc = p.loop.Dial(p.addr, loop.Limits{In: httpmsg.MaxHead + maxBody, Out: maxBody}, c.conn)
