--- a/cmd/ryepaddle/crossing_test.go
+++ b/cmd/ryepaddle/crossing_test.go
@@ -14,6 +14,53 @@
 	"shalesail/internal/scenario"
 )
 
+// Signals that cross each other, with a request open: it gets its one answer, and the process ends by itself.
+func TestSignalsThatCross(t *testing.T) {
+	t.Parallel()
+	for name, script := range map[string]string{
+		"TERM twice": `
+			runner send TERM
+			runner send TERM
+			engine send done 1 fine graded
+			balancer expect 1 200 graded
+			runner expect exit 0`,
+		"TERM in the moment of a HUP": `
+			runner send signals HUP TERM HUP
+			engine send done 1 fine graded
+			balancer expect 1 200 graded
+			runner expect exit 0`,
+		"a drain takes the new addresses": `
+			runner send TERM
+			runner send HUP move
+			engine expect ATTACH 0
+			engine send need 1 insert
+			moved expect call 1 insert
+			moved send 200 row
+			engine expect FEED 1 row
+			engine send done 1 fine graded
+			balancer expect 1 200 graded
+			runner expect exit 0`,
+		"two HUPs at once, and a bad file": `
+			runner send signals HUP HUP
+			runner send HUP half
+			engine send done 1 fine graded
+			balancer expect 1 200 graded
+			balancer send 2 full-check
+			engine expect RUN 2 full-check
+			engine send done 2 fine ok
+			balancer expect 2 200 ok
+			runner send TERM
+			runner expect exit 0`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			scenario.Play(t, `
+				balancer send 1 hand-in key=a body=code
+				engine expect RUN 1 hand-in code`+script, world(t, "", false))
+		})
+	}
+}
+
 // nobody is an address of the roster at which nobody hears reports.
 func nobody(t testing.TB) string {
 	t.Helper()
--- a/cmd/ryepaddle/main_test.go
+++ b/cmd/ryepaddle/main_test.go
@@ -18,6 +18,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"shalesail/internal/fastcgi"
 	"shalesail/internal/scenario"
 	"shalesail/internal/standin/farend"
@@ -193,6 +195,9 @@
 		}
 		return p.logs("event=drain.", 0)
 	}
+	if words[0] == "signals" {
+		return p.signals(words[1:])
+	}
 	path, text := p.inventory, "name,address,group\n"
 	if words[1] == "classes" {
 		p.elsewhere = p.withClasses(words[2:])
@@ -224,6 +229,16 @@
 	return p.logs("event=reload.", before)
 }
 
+// signals sends signals by their names, one behind the other, and does not wait for what comes of them.
+func (p *program) signals(names []string) error {
+	for _, name := range names {
+		if err := p.cmd.Process.Signal(unix.SignalNum("SIG" + name)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // logs waits until the log has a text more often than before.
 func (p *program) logs(text string, before int) error {
 	for range 1000 {
--- a/controller.go
+++ b/controller.go
@@ -554,8 +554,7 @@
 	return best
 }
 
-// room reports whether one more may run: up to the cores always, up to the pool while a core is free, as when
-// runs wait for disk: more only slow each other down.
+// room reports whether one more may run: up to the cores always, up to the pool while a core is free.
 func (c *Controller) room() bool {
 	crowd := c.crowd()
 	all := float64(c.onCores + c.atCalls + c.sharing + 1) // calls may all return at once
@@ -774,12 +773,10 @@
 	return c.set.Classes[class].Calls && c.callWait() > callJam
 }
 
-// full reports that requests of a class wait for want of capacity: the cores are busy (design page) or, ours,
-// calls stand in line, which the cpu gauge does not show.
+// full reports a want of capacity for a class: busy cores (design page) or, ours, a line for calls.
 func (c *Controller) full(class int) bool { return c.cpu > c.fig.BusyCPU || c.jammed(class) }
 
-// placeCalls places waiting calls as far as the share of the dependency goes: by worth those that can be
-// served in their aim, then others. In the order in which they came all would be late by the line's time.
+// placeCalls places waiting calls as far as the share goes: by worth those still in their aim, then others.
 func (c *Controller) placeCalls() {
 	over := func(r *request) bool { return r.state != blocked || r.answered }
 	c.callLine = slices.DeleteFunc(c.callLine, over)
@@ -938,8 +935,7 @@
 	}
 }
 
-// overlong reports that r gives way to next: where work varies, what has run far over what it was expected to
-// has long to go.
+// overlong reports that r gives way to next: what has run far longer than expected has long to go.
 func (c *Controller) overlong(r, next *request) bool {
 	return c.overloaded && next != nil && c.set.Classes[next.class].Worth >= c.set.Classes[r.class].Worth &&
 		float64(c.now-r.began) > c.fig.OverRun*float64(c.expected(r))
@@ -1022,7 +1018,11 @@
 	case CreditNone:
 		return
 	case CreditAllowance:
-		v = pool / float64(max(c.heardN, 1))
+		n := max(c.heardN, 1)
+		if c.set.Cold && c.now < c.born+heardFor { // callers that were not heard yet come as well
+			n = max(n, c.set.Callers)
+		}
+		v = pool / float64(n)
 	case CreditWeight:
 		v = share
 	case CreditLevel:
--- a/controller_test.go
+++ b/controller_test.go
@@ -942,3 +942,26 @@
 		}
 	}
 }
+
+// A cold server offers all its callers no more than its pool in sum, also before it has heard them: each of thirty that asks for
+// the first time was told the pool shared among the few before it, four times the pool together. Once warm none of it is kept back.
+func TestColdCreditCountsCallersThatWereNotHeard(t *testing.T) {
+	const callers = 30
+	h := newHand(t, func(s *Settings) { s.Cold, s.Callers = true, callers })
+	told, said := 0.0, h.ctl.said
+	for id := uint64(1); id <= callers; id++ {
+		e := h.ask(id, 0)
+		e.Caller = uint32(id)
+		if a := find(h.at(20*ms, e, timerEvent(0.1, 1), Event{Kind: EventDone, Request: id, Outcome: OK}), ActionAdvertise, 0); a != nil {
+			said = a.Value
+		}
+		told += said
+	}
+	if most := float64(h.ctl.set.Cores) * 2; told > most {
+		t.Errorf("thirty callers were told of %v together, and the pool began at %d", told, h.ctl.set.Cores)
+	}
+	h.gauges(2*heardFor, 0.1, 1)
+	if v := h.ctl.pool / float64(max(h.ctl.heardN, 1)); math.Abs(h.ctl.said-v) > 2*h.ctl.fig.SayStep*v {
+		t.Errorf("warm it says %v, and could give %v", h.ctl.said, v)
+	}
+}
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -504,16 +504,16 @@
 		return
 	}
 	r.leaving = true
-	began := r.loop.Now()
+	began, stop := r.loop.Now(), r.cfg.Stop // a HUP that comes now does not move the time at which the process is stopped
 	evDrain.Log(r.core.Open())
-	r.core.Drain(r.cfg.Stop)
+	r.core.Drain(stop)
 	if r.peers != nil {
 		r.peers.Duties().GiveBack()
 	}
 	if r.roster != nil {
 		r.roster.Set(false)
 	}
-	grace := min(r.cfg.Settings.DrainGrace.Microseconds()+100_000, r.cfg.Stop/2)
+	grace := min(r.cfg.Settings.DrainGrace.Microseconds()+100_000, stop/2)
 	r.loop.After(grace, func() {
 		if r.listens {
 			r.front.Leave()
@@ -525,7 +525,7 @@
 	var look func()
 	look = func() {
 		past := r.loop.Now() - began
-		if r.conns() == 0 && past > grace && !r.front.Listens() || past > r.cfg.Stop-drainSpare {
+		if r.conns() == 0 && past > grace && !r.front.Listens() || past > stop-drainSpare {
 			r.front.Finish()
 			evDrained.Log(past/1000, r.core.Open(), r.core.Stats())
 			r.loop.Stop()
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -100,6 +100,9 @@
 // Stop ends Run after this turn.
 func (l *Loop) Stop() { l.stopped = true }
 
+// IsStopped tells whether Stop was called.
+func (l *Loop) IsStopped() bool { return l.stopped }
+
 // Run turns the loop until Stop.
 func (l *Loop) Run() error {
 	for !l.stopped {
