--- a/internal/httpmsg/response.go
+++ b/internal/httpmsg/response.go
@@ -199,7 +199,7 @@
 	case h.Proto == "CGI" && strings.EqualFold(f.Name, "Status"):
 		n, err := parseStatus(f.Value)
 		if err != nil || h.Status != 0 && h.Status != n {
-			return fmt.Errorf("Status %q", f.Value)
+			return fmt.Errorf("field Status %q", f.Value)
 		}
 		h.Status = n
 		return nil // it is the status line's
--- a/internal/inventory/groups.go
+++ b/internal/inventory/groups.go
@@ -17,7 +17,6 @@
 type group struct {
 	name    string
 	vars    vars
-	hosts   []string
 	parents []*group
 	depth   int // below the top; 0: it has no parent
 }
