--- a/internal/backend/crossing_test.go
+++ b/internal/backend/crossing_test.go
@@ -5,8 +5,6 @@
 	"testing"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"shalesail/internal/core"
 	"shalesail/internal/scenario"
 )
@@ -18,37 +16,6 @@
 	e.outcomes = append(e.outcomes, o)
 }
 
-// mute is the address of a listener whose queue is full, so that a connection to it neither stands nor fails.
-func mute(t *testing.T) netip.AddrPort {
-	t.Helper()
-	socket := func() int {
-		fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { unix.Close(fd) })
-		return fd
-	}
-	ln := socket()
-	if err := unix.Bind(ln, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
-		t.Fatal(err)
-	}
-	if err := unix.Listen(ln, 0); err != nil {
-		t.Fatal(err)
-	}
-	sa, err := unix.Getsockname(ln)
-	if err != nil {
-		t.Fatal(err)
-	}
-	for range 8 {
-		if err := unix.Connect(socket(), sa); err != nil && err != unix.EINPROGRESS {
-			t.Fatal(err)
-		}
-	}
-	at := sa.(*unix.SockaddrInet4)
-	return netip.AddrPortFrom(netip.AddrFrom4(at.Addr), uint16(at.Port))
-}
-
 // Nothing was sent on a connection that never stood. A call on one ends as a call that nobody took, as the back end moves or its
 // time is up: one with an effect may then be placed again.
 func TestCallOnAConnectionThatDoesNotStand(t *testing.T) {
@@ -58,7 +25,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			s, sink := scenario.NewStepped(t), &ended{}
-			p := New(s.Loop, mute(t))
+			p := New(s.Loop, scenario.Mute(t))
 			p.Start(sink)
 			p.Call(&core.Attempt{Request: &core.Request{Name: scenario.CallID("1")}}, nil, time.Second.Microseconds())
 			s.Pass(0)
--- /dev/null
+++ b/internal/engine/crossing_test.go
@@ -0,0 +1,36 @@
+package engine
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"shalesail/internal/core"
+	"shalesail/internal/scenario"
+)
+
+// The engine moves, and moves again while the link to its first new address is still being opened: that one is given up, and the
+// link attaches at the second, with what is open.
+func TestEngineMovesTwiceWhileALinkIsOpened(t *testing.T) {
+	s, stand := scenario.NewStepped(t), scenario.NewEngine(t)
+	k := New(s.Loop, netip.MustParseAddrPort(stand.Listener.Addr().String()), func([]float64) core.Gauges { return core.NoGauges() })
+	k.Start(&endings{loop: s.Loop})
+	s.Until(k.Up)
+	k.Run(attempt(s.Loop, "1"))
+	k.Move(scenario.Mute(t))
+	s.Pass(0)
+	if !k.Up() || k.next == nil {
+		t.Fatal("the link that stands is given up before the new one stands")
+	}
+	last := netip.MustParseAddrPort(stand.Elsewhere(t))
+	k.Move(last)
+	s.Until(func() bool { return k.Up() && k.conn.conn.Peer() == last })
+	if k.next != nil {
+		t.Error("a second link is still being opened")
+	}
+	for _, want := range []string{"ATTACH 0", "RUN 1 check", "ATTACH 0"} {
+		if got, ok := stand.Next(10 * time.Second); !ok || got != want {
+			t.Fatalf("the engine saw %q, want %q", got, want)
+		}
+	}
+}
