--- a/internal/front/platform/crossing_test.go
+++ b/internal/front/platform/crossing_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"net/netip"
 	"strconv"
@@ -296,3 +297,45 @@
 	}
 	r.expect(rests, map[int]string{1: "200"})
 }
+
+// parts are requests that begin and do not come whole, by their numbers.
+func parts(first, last int) string {
+	var b []byte
+	for id := first; id <= last; id++ {
+		b = fastcgi.AppendBegin(b, uint16(id), fastcgi.Begin{Role: fastcgi.Responder, Keep: true})
+		b = fastcgi.Append(b, fastcgi.Params, uint16(id), make([]byte, 8000))
+	}
+	return string(b)
+}
+
+// A flood of parts on many connections costs the largest of them its parts, and not the answer that it is owed.
+func TestFloodOfPartsBesideARequest(t *testing.T) {
+	r := newRunner(t, longIdle)
+	c := r.connect(r.request(1))
+	r.Until(func() bool { return len(r.runs) == 1 })
+	write := func(c net.Conn, text string) { _, _ = io.WriteString(c, text) } // it fails where the connection is closed
+	go write(c, parts(2, 32))
+	for range 8 {
+		go write(r.connect(""), parts(1, 30))
+	}
+	refused := make(chan string, 1)
+	go func() {
+		b := make([]byte, 64<<10)
+		n, _ := c.Read(b)
+		refused <- string(b[:n])
+	}()
+	for {
+		select {
+		case text := <-refused:
+			r.end()
+			end := r.AwaitEnd(scenario.ReadToEnd(c))
+			got := answers(t, text+end.Text)
+			if end.Err != nil || len(got) != 32 || got[1] != "200" || got[32] != "overloaded" {
+				t.Fatalf("answers %v, end %v", got, end.Err)
+			}
+			return
+		case <-time.After(time.Millisecond):
+			r.Pass(0)
+		}
+	}
+}
