A result waits for its replicas: an unconfirmed one was given out, and a repeat was told it failed

Ruled out: windows that were over, disk copies put back.

Now a result waits for its copies up to the due time or 300 ms before a drain's end, then is late, and repeats get it once confirmed. A disk that hangs is waited for its own patience beside that.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -268,6 +268,7 @@
 	keys     keyTable
 	settling bool
 	drainAt  int64   // monotonic; 0: not draining
+	stopAt   int64   // monotonic; when a drain has to be over
 	counts   []Stats // by class
 	// Monotonic times since when classes are not in the settings any more.
 	droppedAt []int64
@@ -636,7 +637,13 @@
 		return
 	}
 	c.drainAt = c.host.Now()
-	c.gate.report(shalesail.Event{Kind: shalesail.EventDrain, Due: span(c.drainAt + stop)})
+	c.stopAt = c.drainAt + stop
+	for _, r := range c.requests {
+		if r.held && !r.answered {
+			c.boundReplication(r)
+		}
+	}
+	c.gate.report(shalesail.Event{Kind: shalesail.EventDrain, Due: span(c.stopAt)})
 	c.settle()
 }
 
--- a/internal/core/keeper.go
+++ b/internal/core/keeper.go
@@ -28,11 +28,11 @@
 	Begun(k Kept, done func(error))
 	Ended(k Kept, done func(error))
 	Forgot(k Kept)
-	// Patience is how long a run or an answer waits for that, in microseconds.
+	// Patience is how long a run or an answer waits for that, in microseconds; a result waits for other runners while there is time.
 	Patience() int64
 }
 
-// Sharer is a Keeper that keeps keys on other runners too.
+// Sharer is a Keeper that keeps keys on other runners too. The result of a run is given out only once it is kept there.
 type Sharer interface {
 	Keeper
 	// Apart tells whether it is for want of them that no new key can be taken.
@@ -207,6 +207,13 @@
 		c.settle()
 		c.drop(r)
 	}
+	if _, shared := c.host.Keeper.(Sharer); shared && o == Fine {
+		stop = c.host.After(max(k.Until-c.host.Unix(), 0), func() { finish(errSlow) }) // no repeat can come any more
+		c.host.Keeper.Ended(k, finish)
+		c.boundReplication(r)
+		c.settle()
+		return
+	}
 	wait := min(c.host.Keeper.Patience(), r.due-lateBy-c.host.Now())
 	if r.answered { // only repeats wait
 		wait = c.host.Keeper.Patience()
@@ -218,3 +225,23 @@
 	}
 	c.settle()
 }
+
+// boundReplication answers a request whose result other runners have not confirmed while there was time for it. It must not be given out
+// without their word: should this process be taken for lost, they tell repeats that the run is in doubt. The key stays open until they confirm.
+func (c *Core) boundReplication(r *request) {
+	wait := r.due - lateBy - c.host.Now()
+	if c.drainAt != 0 {
+		wait = min(wait, c.stopAt-replicationSpare-c.host.Now())
+	}
+	c.host.After(max(wait, 0), func() {
+		if r.answered {
+			return
+		}
+		r.trail.because(CauseCopies, 0, 0)
+		c.answer(r, Answer{Kind: Late})
+		c.drop(r)
+	})
+}
+
+// replicationSpare is how long before the process is stopped a result that is not confirmed is given up.
+const replicationSpare = 300_000
--- a/internal/peers/party/disk.go
+++ b/internal/peers/party/disk.go
@@ -151,7 +151,10 @@
 	}
 }
 
-var errCloses error = unsaved.New("party: the disk does not answer; what is there counts")
+var (
+	errCloses error = unsaved.New("party: the disk does not answer; what is there counts")
+	errHangs  error = hangs.New("party: the disk does not answer in time; other runners have the result")
+)
 
 // Close gives the folder back, with what is held of slots in it. No more comes from the loop by then.
 func (p *Party) Close() error {
--- a/internal/peers/party/party.go
+++ b/internal/peers/party/party.go
@@ -348,8 +348,12 @@
 
 func (p *Party) put(kind store.Kind, k core.Kept, done func(copies.Answer)) {
 	now := p.loop.Unix()
+	left, within := k.Until-now, p.cfg.Patience
+	if kind == store.Ended { // whoever waits for it knows for how long
+		within = max(within, left)
+	}
 	// The core is told in a turn of its own: it may ask for more at once.
-	p.holder.Put(keeper.Record(kind, k, now), k.Until-now, p.cfg.Patience, p.loop.Now(), func(a copies.Answer) { p.loop.Post(func() { done(a) }) })
+	p.holder.Put(keeper.Record(kind, k, now), left, within, p.loop.Now(), func(a copies.Answer) { p.loop.Post(func() { done(a) }) })
 	p.loop.Post(p.flush)
 }
 
@@ -430,7 +434,8 @@
 	k.p.disk.Begun(c, done)
 }
 
-// Ended implements core.Keeper: it is kept once peers and disk have it, and others know of its use.
+// Ended implements core.Keeper: it is kept once peers and disk have it, and others know of its use. A disk that hangs is not waited for longer
+// than its patience, as peers have it.
 func (k kept) Ended(c core.Kept, done func(error)) {
 	var errs error
 	rest := 1
@@ -442,7 +447,7 @@
 	}
 	if k.p.disk != nil {
 		rest++
-		k.p.disk.Ended(c, one)
+		k.p.disk.Ended(c, k.p.within(k.p.disk.Patience(), one))
 	}
 	if k.p.cfg.Accounts != nil && c.Result != nil && c.Waits {
 		rest++
@@ -451,6 +456,22 @@
 	k.p.put(store.Ended, c, func(a copies.Answer) { one(a.Err) })
 }
 
+// within passes the first word of the disk on, or that it has not come in time.
+func (p *Party) within(patience int64, done func(error)) func(error) {
+	var late *loop.Timer
+	heard := false
+	once := func(err error) {
+		if heard {
+			return
+		}
+		heard = true
+		late.Stop()
+		done(err)
+	}
+	late = p.loop.After(patience, func() { once(errHangs) })
+	return once
+}
+
 // Forgot implements core.Keeper: peers hear it by the claim.
 func (k kept) Forgot(c core.Kept) {
 	if k.p.disk != nil {
