Many processes keep to the ramp of a server that warms up, by permits of each

A server that joins was sent 3.85 times what chance explains by thirty processes under load: the best of a small hall is whoever has nothing to do, whatever its part (hall.draw, Server.cost), and each process probed one that was ejected. internal/ramp gives each process permits: by what it sends warm peers, always, and by the operator's calls over the number of processes (routing.cold).

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -280,7 +280,7 @@
 		return
 	}
 	opt := upstream.Options{ConnectWithin: op.Limits.ConnectMs * 1000, Flow: op.Limits.Flow(), Ahead: op.Limits.ServerAhead,
-		KeyVar: op.KeyVar, TenantVar: op.Tenant.Var, Route: op.Route(), Classes: len(classes), Tries: op.Limits.Tries,
+		KeyVar: op.KeyVar, TenantVar: op.Tenant.Var, Route: op.Route(r.cfg.Settings.Servers), Classes: len(classes), Tries: op.Limits.Tries,
 		Check: upstream.Check{Path: op.Routing.Check.Path, Within: op.Routing.Check.WithinMs * 1000}}
 	if r.spans != nil {
 		opt.Trace = r.traceOf
--- a/internal/config/routing.go
+++ b/internal/config/routing.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 	"strings"
@@ -15,12 +16,20 @@
 	Affinity bool     `yaml:"affinity"` // a key goes to one server, whichever instance it comes through
 	WarmS    float64  `yaml:"warm_s"`   // that a new server takes to get its whole part
 	WarmFrom float64  `yaml:"warm_from"`
+	Cold     Cold     `yaml:"cold"`
 	Eject    Eject    `yaml:"eject"`
 	Check    Check    `yaml:"check"`
 	Retries  Retries  `yaml:"retries"`
 	Limit    Limit    `yaml:"limit"`
 }
 
+// Cold is what a server that has just started bears of all processes together; it grows with its part while it warms up.
+type Cold struct {
+	Calls     float64 `yaml:"calls"` // within over_ms; 0: it goes by what its peers get alone
+	OverMs    int64   `yaml:"over_ms"`
+	Processes int     `yaml:"processes"` // that send to it; 0: as many as peers or the platform's settings name
+}
+
 // Eject is when a server gets no more work, and for how long.
 type Eject struct {
 	Fails  int     `yaml:"fails"`   // in a row
@@ -61,13 +70,13 @@
 
 func standardRouting() Routing {
 	c := route.Standard(1)
-	return Routing{WarmS: 10, WarmFrom: c.Members.WarmFrom, Eject: Eject{Fails: c.Members.Fails, Rate: c.Members.RateMost, Slow: c.Members.SlowFactor,
+	return Routing{WarmS: 10, WarmFrom: c.Members.WarmFrom, Cold: Cold{OverMs: c.Ramp.Over / 1000}, Eject: Eject{Fails: c.Members.Fails, Rate: c.Members.RateMost, Slow: c.Members.SlowFactor,
 		FirstS: 5, MostS: 60, Share: c.Members.MostShare}, Check: Check{EveryMs: 2000, WithinMs: 1000, Fails: 3, Passes: 2},
 		Retries: Retries{c.Retries.Share, c.Retries.Spare}, Limit: Limit{First: 8, Least: 2}}
 }
 
-// Route is how a router is to decide.
-func (o *Operator) Route() route.Config {
+// Route is how a router is to decide, where the platform's settings name so many servers like this one.
+func (o *Operator) Route(servers int) route.Config {
 	r, c := &o.Routing, route.Standard(o.Limits.ServerConns)
 	us := func(s float64) int64 { return int64(s * 1e6) }
 	c.Halls, c.Subset, c.Affinity = r.Halls, r.Subset, r.Affinity
@@ -79,6 +88,8 @@
 	if r.Check.Path != "" {
 		m.Checks.Every = r.Check.EveryMs * 1000
 	}
+	c.Ramp.Calls, c.Ramp.Over = r.Cold.Calls, r.Cold.OverMs*1000
+	c.Ramp.Processes = cmp.Or(r.Cold.Processes, len(o.Peers.Members), servers, c.Ramp.Processes)
 	c.Retries.Share, c.Retries.Spare = r.Retries.Share, r.Retries.Spare
 	c.Limits.First, c.Limits.Least = min(r.Limit.First, o.Limits.ServerConns), min(r.Limit.Least, o.Limits.ServerConns)
 	return c
--- a/internal/route/hall.go
+++ b/internal/route/hall.go
@@ -17,21 +17,22 @@
 	servers  []*Server
 	weights  []float64 // as drawn by: weight times part
 	dice     alias
-	any      bool    // there is somebody to draw
-	laid     int64   // when it was laid out
-	stale    bool    // something has changed since
-	warming  bool    // parts change by themselves
-	open     int     // requests at its servers
-	room     int     // the sum of the limits of those who get a part
-	standing float64 // share of its weight that is there
+	any      bool      // there is somebody to draw
+	laid     int64     // when it was laid out
+	stale    bool      // something has changed since
+	warming  []*Server // whose parts change by themselves
+	warm     float64   // the weight of those that are not new to their work
+	open     int       // requests at its servers
+	room     int       // the sum of the limits of those who get a part
+	standing float64   // share of its weight that is there
 }
 
 // look lays the hall out anew where that is due.
 func (h *hall) look(t *membership.Table, now int64) {
-	if h.laid != 0 && (!h.stale && !h.warming || now-h.laid < relay) {
+	if h.laid != 0 && (!h.stale && len(h.warming) == 0 || now-h.laid < relay) {
 		return
 	}
-	h.laid, h.stale, h.warming, h.room = now, false, false, 0
+	h.laid, h.stale, h.warming, h.warm, h.room = now, false, h.warming[:0], 0, 0
 	all, part := 0.0, 0.0
 	h.weights = h.weights[:0]
 	for _, s := range h.servers {
@@ -41,7 +42,13 @@
 		if part += float64(s.Weight) * p; s.State == membership.Suspected { // it is there
 			part += float64(s.Weight) * (1 - p)
 		}
-		if h.warming = h.warming || s.State == membership.Warming; p > 0 {
+		if s.State == membership.Warming {
+			h.warming = append(h.warming, s)
+		}
+		if s.warm() {
+			h.warm += float64(s.Weight)
+		}
+		if p > 0 {
 			h.room += s.limit.Now()
 		}
 	}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -17,6 +17,7 @@
 
 	"shalesail/internal/limit"
 	"shalesail/internal/membership"
+	"shalesail/internal/ramp"
 	"shalesail/internal/retry"
 )
 
@@ -25,6 +26,7 @@
 	Members  membership.Config
 	Limits   limit.Config
 	Retries  retry.Config
+	Ramp     ramp.Config
 	Halls    []string // by nearness; others follow by name
 	Subset   int      // servers of each hall that this instance uses; 0: all
 	Affinity bool     // a key goes to one server, whichever instance it comes through
@@ -34,7 +36,7 @@
 
 // Standard is what is usual, with so many requests at one server at the most.
 func Standard(mostOpen int) Config {
-	return Config{Members: membership.Standard(), Limits: limit.Standard(mostOpen), Retries: retry.Standard(), MostOpen: mostOpen, Spare: 1.4}
+	return Config{Members: membership.Standard(), Limits: limit.Standard(mostOpen), Retries: retry.Standard(), Ramp: ramp.Standard(), MostOpen: mostOpen, Spare: 1.4}
 }
 
 // Server is a member with what routing knows of it.
@@ -42,6 +44,7 @@
 	*membership.Member
 	Owner any // for whoever keeps its connections
 	limit limit.Limit
+	pacer ramp.Pacer // while it warms up or is probed
 	hall  *hall
 	r     *Router
 	share float64 // its weight by the mean one
@@ -120,6 +123,9 @@
 		s = &Server{Member: m, limit: limit.New(&r.cfg.Limits), r: r}
 		m.Owner = s
 	}
+	if c.To == membership.Ejected || c.To == membership.Warming && c.From != membership.Probing {
+		s.pacer.Reset(r.rand.Float64(), r.rand.Float64(), c.At)
+	}
 	if s.hall != nil {
 		s.hall.stale = true
 	}
@@ -219,8 +225,11 @@
 // roomy tells whether a server may be chosen, and has room by its limit.
 func roomy(s *Server, q *Query) bool { return takes(s, q) && s.Open < s.limit.Now() }
 
-// takes tells whether a server may be chosen at all.
-func takes(s *Server, q *Query) bool {
+// takes tells whether a server may be chosen at all. One that is paced is chosen in another way.
+func takes(s *Server, q *Query) bool { return able(s, q) && !s.paced() && s.withinCalls(q.Now) }
+
+// able tells whether a server gets a part and could take the request.
+func able(s *Server, q *Query) bool {
 	return s.Open < s.r.cfg.MostOpen && s.r.table.Part(s.Member, q.Now) > 0 && !q.tried(s)
 }
 
@@ -228,13 +237,19 @@
 // there, and tells of it by Sent.
 func (r *Router) Pick(q *Query) (*Server, Why) {
 	s, why := r.pick(q)
+	if why != Probe && why != Home {
+		s, why = r.pace(s, why, q)
+	}
+	if s != nil && !s.warm() {
+		s.pacer.Sent()
+	}
 	r.Chosen[why]++
 	return s, why
 }
 
 func (r *Router) pick(q *Query) (*Server, Why) {
 	if m := r.table.ToProbe(q.Safe && !q.Again, q.Now); m != nil {
-		if s := m.Owner.(*Server); s.Open < r.cfg.MostOpen && !q.tried(s) {
+		if s := m.Owner.(*Server); s.Open < r.cfg.MostOpen && !q.tried(s) && s.withinCalls(q.Now) {
 			return s, Probe
 		}
 	}
@@ -300,7 +315,7 @@
 	var last *Server
 	for i := 0; i < walk && i < len(r.ring.points); i++ {
 		s := r.ring.points[(at+i)%len(r.ring.points)]
-		if s == last || !roomy(s, q) {
+		if s == last || !able(s, q) || s.Open >= s.limit.Now() || !s.withinCalls(q.Now) {
 			continue
 		}
 		last = s
@@ -322,7 +337,7 @@
 	}
 	var best *Server
 	for _, s := range r.all {
-		if s.State != membership.Checking && s.State != membership.Listed && s.Open < r.cfg.MostOpen && !q.tried(s) &&
+		if s.State != membership.Checking && s.State != membership.Listed && s.Open < r.cfg.MostOpen && !q.tried(s) && !s.paced() && s.withinCalls(q.Now) &&
 			(best == nil || s.Open < best.Open) {
 			best = s
 		}
