--- a/internal/front/platform/crossing_test.go
+++ b/internal/front/platform/crossing_test.go
@@ -85,9 +85,12 @@
 }
 
 // request is a whole request by its number, on which the connection is kept.
-func (r *runner) request(id int) string {
+func (r *runner) request(id int) string { return r.requestOn(id, id) }
+
+// requestOn is one whose number on its connection is another than its name.
+func (r *runner) requestOn(id, name int) string {
 	params := []byte{}
-	for _, p := range [][2]string{{"REQUEST_METHOD", "POST"}, {"SCRIPT_NAME", "/ops/check"}, {"HTTP_X_CALL_ID", fmt.Sprintf("%016x", id)},
+	for _, p := range [][2]string{{"REQUEST_METHOD", "POST"}, {"SCRIPT_NAME", "/ops/check"}, {"HTTP_X_CALL_ID", fmt.Sprintf("%016x", name)},
 		{"HTTP_X_SOURCE", "1"}, {"HTTP_X_CUSTOMER", ""}, {"HTTP_X_HEAP_KB", "20"}, {"HTTP_X_IMPORTANCE", "0.5"},
 		{"HTTP_X_QUEUE_START", strconv.FormatInt(r.Unix()/1000, 10)}} {
 		params = fastcgi.AppendPair(params, p[0], p[1])
@@ -223,6 +226,28 @@
 	}
 }
 
+// A balancer gives up a request whose answer is on its way, and then uses its number again: the abort is about nothing any more, and the new
+// request is served.
+func TestNumberIsUsedAgainAsAnAbortCrossesTheAnswer(t *testing.T) {
+	r := newRunner(t, longIdle)
+	c := r.connect(r.request(1))
+	r.serve(1)
+	answer := make([]byte, 4096)
+	n, err := c.Read(answer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := answers(t, string(answer[:n])); got[1] != "200" {
+		t.Fatalf("the first answer: %v", got)
+	}
+	r.Send(c, string(fastcgi.Append(nil, fastcgi.AbortRequest, 1, nil))+r.requestOn(1, 2))
+	r.serve(1)
+	if err := c.CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	r.expect(c, map[int]string{1: "200"})
+}
+
 // What cannot be read ends a connection, but not the requests that were read on it before.
 func TestSpoiltBytesBehindARequest(t *testing.T) {
 	r := newRunner(t, longIdle)
