A list that was found before a HUP does not come after the HUP's list

Found reading internal/intake and internal/app line by line: the watcher hands a list to the loop, or still reads it, while a HUP takes a newer one; the older was then taken over it. If the HUP had confirmed a shrunken list, that was refused from then on as too great a loss of the old one. Lines at fault: Judge went by its two marks alone, and the loop took whatever the watcher had found. Both new tests fail without the change (an older list is taken).

--- a/internal/app/lists.go
+++ b/internal/app/lists.go
@@ -28,17 +28,20 @@
 	}
 	var w *intake.Watcher
 	found := func(mark intake.Mark, servers []inventory.Server) {
-		r.loop.Deliver(func() {
-			if r.watch == w {
-				r.takeList(mark, servers)
-			}
-		})
+		r.loop.Deliver(func() { r.takeFound(w, mark, servers) })
 	}
 	cfg := intake.Config{Settle: op.Watch.SettleMs * 1000, Shrink: op.Watch.Shrink}
 	w = intake.Watch(op.Lists, cfg, time.Duration(op.Watch.EveryS*float64(time.Second)), op.Mark, op.Servers, found)
 	r.watch = w
 }
 
+// takeFound takes a list that a watcher has found, unless that was replaced or a HUP has brought a newer list meanwhile.
+func (r *Program) takeFound(w *intake.Watcher, mark intake.Mark, servers []inventory.Server) {
+	if r.watch == w && w.Offers(mark) {
+		r.takeList(mark, servers)
+	}
+}
+
 // takeList moves to another list of servers, where the rest of the operator's file still goes with it.
 func (r *Program) takeList(mark intake.Mark, servers []inventory.Server) {
 	next, err := r.op.WithServers(mark, servers, r.cfg)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -36,6 +36,8 @@
 	refused Mark
 	reason  string
 	offered Mark // was handed over, and is not yet answered
+	version int  // of the list that holds, whoever brought it
+	reading int  // the version when the files were last found to be read
 }
 
 // New begins with a list that was taken.
@@ -55,6 +57,7 @@
 	if i.moving == 0 {
 		i.moving = now
 	}
+	i.reading = i.version
 	return now-i.since >= i.cfg.Settle || now-i.moving >= restless*i.cfg.Settle
 }
 
@@ -71,9 +74,9 @@
 // ErrShrunk is that of a list that has lost too many of its servers.
 var ErrShrunk error = shrunk.New("a HUP confirms it, if it is meant")
 
-// Judge decides about what was read, between two looks at the files.
+// Judge decides about what was read, between two looks at the files. A list that was taken meanwhile may be newer than what was read.
 func (i *Intake) Judge(before, after Mark, servers []inventory.Server, err error, now int64) (Verdict, error) {
-	if before != after {
+	if before != after || i.reading != i.version {
 		i.Look(after, now)
 		return Again, nil
 	}
@@ -120,9 +123,13 @@
 
 // Took notes a list that holds from now on, whoever brought it.
 func (i *Intake) Took(mark Mark, servers []inventory.Server) {
+	i.version++
 	i.taken, i.current, i.refused, i.reason, i.moving, i.offered = mark, servers, 0, "", 0, 0
 }
 
+// Offers tells whether a list that was handed over still waits to be taken: a HUP may have brought a newer one since.
+func (i *Intake) Offers(mark Mark) bool { return i.offered == mark && mark != 0 }
+
 // Reason is why the files as they are now are not taken; empty: they are, or they have not settled.
 func (i *Intake) Reason() string {
 	if i.seen == i.refused {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -242,3 +242,41 @@
 		t.Error(w.Reason())
 	}
 }
+
+// A HUP takes a list while the watcher reads, or while what it found waits to be taken: what the watcher has may be older than the HUP's list,
+// and must not come after it. A shrunken list that a HUP has confirmed would be refused from then on.
+func TestAHUPCrossesAListThatWasFound(t *testing.T) {
+	const before, older, confirmed = Mark(1), Mark(2), Mark(3)
+	for name, c := range map[string]struct {
+		first, last func(i *Intake) Verdict // the HUP's list is taken between them
+		want        Verdict
+	}{
+		"it is being read": {
+			func(*Intake) Verdict { return 0 },
+			func(i *Intake) Verdict { v, _ := i.Judge(older, older, servers(5), nil, 1000); return v },
+			Again},
+		"it waits to be taken": {
+			func(i *Intake) Verdict { v, _ := i.Judge(older, older, servers(5), nil, 1000); return v },
+			func(*Intake) Verdict { return Take },
+			Take},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := New(Config{Settle: 100, Shrink: 0.5}, before, servers(4))
+			i.Look(older, 10)
+			if !i.Look(older, 110) {
+				t.Fatal("it is not read")
+			}
+			c.first(i)
+			i.Took(confirmed, servers(1))
+			if got := c.last(i); got != c.want {
+				t.Errorf("verdict %d, want %d", got, c.want)
+			}
+			if i.Offers(older) {
+				t.Error("the older list would be taken")
+			}
+			if i.Look(confirmed, 2000) || i.Reason() != "" {
+				t.Errorf("the HUP's list is read again, or refused: %q", i.Reason())
+			}
+		})
+	}
+}
--- a/internal/intake/watch.go
+++ b/internal/intake/watch.go
@@ -60,6 +60,13 @@
 	w.intake.Took(mark, servers)
 }
 
+// Offers tells whether a list that was found still waits to be taken.
+func (w *Watcher) Offers(mark Mark) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.intake.Offers(mark)
+}
+
 // Refused notes that a list that was found is not taken.
 func (w *Watcher) Refused(mark Mark, why error) {
 	w.mu.Lock()
