The hard tests of processes start their clusters at once, and play one after the other

A cluster that has just started waits for a window to pass before it takes keys (about 15 s) and does nothing meanwhile: three such waits stood in a row before the tests that are played side by side. What is played and judged is the same.

--- a/internal/standin/cluster/cluster_test.go
+++ b/internal/standin/cluster/cluster_test.go
@@ -83,19 +83,23 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() {
-		if t.Failed() {
-			for _, n := range c.Nodes {
-				t.Logf("%s: %s", n.Name, n.Log(30))
-			}
-		}
-		if err := c.Close(); err != nil {
-			t.Error(err)
-		}
-	})
+	t.Cleanup(func() { closeCluster(t, c) })
 	return c
 }
 
+// closeCluster ends a cluster, with its logs where the test has failed.
+func closeCluster(t *testing.T, c *Cluster) {
+	t.Helper()
+	if t.Failed() {
+		for _, n := range c.Nodes {
+			t.Logf("%s: %s", n.Name, n.Log(30))
+		}
+	}
+	if err := c.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
 // Keys that keep to their runner run once and keep their results over faults by seed, as no disk is lost. RYEPADDLE_SEEDS says how many
 // seeds are played, RYEPADDLE_SEED plays one of them again.
 func TestFaultsBySeed(t *testing.T) {
--- a/internal/standin/cluster/hard_test.go
+++ b/internal/standin/cluster/hard_test.go
@@ -6,24 +6,93 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"shalesail/internal/standin/judge"
 )
 
-// These tests are played one after the other and before those that are played side by side: each keeps a core or two busy, and those
-// go by how soon runners hear of each other.
+// TestHardFaults plays faults one after the other, and before the tests that are played side by side: each keeps a core or two busy, and those
+// go by how soon runners hear of each other. A cluster that has just started waits for a window to pass before it takes keys, and does nothing
+// meanwhile, so that all of them start at once.
+func TestHardFaults(t *testing.T) {
+	plays := []struct {
+		name    string
+		options func(t *testing.T) (Options, error)
+		play    func(t *testing.T, c *Cluster)
+	}{
+		{"full and hanging disks", oneOption(Options{Bins: map[string]string{"n3": faulty, "n4": faulty}}), playFullAndHangingDisks},
+		{"clocks apart", oneOption(Options{Bins: map[string]string{"n2": faulty, "n3": faulty},
+			Clocks: map[string]time.Duration{"n2": 7 * time.Minute, "n3": -5 * time.Minute}}), playClocksApart},
+		{"two versions", withOldVersion, playTwoVersions},
+	}
+	started := make([]*keeping, len(plays))
+	for i, p := range plays {
+		started[i] = startKeeping(t, p.options)
+	}
+	for i, p := range plays {
+		t.Run(p.name, func(t *testing.T) { p.play(t, started[i].ready(t)) })
+	}
+}
+
+// oneOption are options that are known at once.
+func oneOption(opt Options) func(*testing.T) (Options, error) {
+	return func(*testing.T) (Options, error) { return opt, nil }
+}
+
+// errSkip is that of a cluster that cannot be played on this checkout.
+var errSkip = errors.New("not on this checkout")
+
+// keeping is a cluster of runners with a copy of each key, on its way to take keys.
+type keeping struct {
+	cluster *Cluster
+	err     error
+	started chan struct{}
+	close   sync.Once
+}
+
+// startKeeping starts one. It ends with the test, if it was not closed before.
+func startKeeping(t *testing.T, options func(*testing.T) (Options, error)) *keeping {
+	k := &keeping{started: make(chan struct{})}
+	go func() {
+		defer close(k.started)
+		opt, err := options(t)
+		if k.err = err; err != nil {
+			return
+		}
+		opt.Runners, opt.Halls, opt.Servers, opt.Window, opt.Copies = 4, 2, 2, shortWindow, 1
+		opt.Bin, opt.Work, opt.Patience = bin, 2*time.Millisecond, 20*time.Second
+		if k.cluster, k.err = Start(opt); k.err == nil {
+			k.err = errors.Join(k.cluster.Ready(60*time.Second), k.cluster.Taking(60*time.Second))
+		}
+	}()
+	t.Cleanup(func() { k.end(t) })
+	return k
+}
+
+// end closes the cluster, with its logs where the test has failed.
+func (k *keeping) end(t *testing.T) {
+	<-k.started
+	k.close.Do(func() {
+		if k.cluster != nil {
+			closeCluster(t, k.cluster)
+		}
+	})
+}
 
-// keeping is a number of runners with a copy of each key, once they take keys.
-func keeping(t *testing.T, opt Options) *Cluster {
+// ready waits until the cluster takes keys. It is closed as the test ends.
+func (k *keeping) ready(t *testing.T) *Cluster {
 	t.Helper()
-	opt.Runners, opt.Halls, opt.Servers, opt.Window, opt.Copies = 4, 2, 2, shortWindow, 1
-	c := start(t, opt)
-	if err := errors.Join(c.Ready(60*time.Second), c.Taking(60*time.Second)); err != nil {
-		t.Fatal(err)
+	<-k.started
+	t.Cleanup(func() { k.end(t) })
+	switch {
+	case errors.Is(k.err, errSkip):
+		t.Skip(k.err)
+	case k.err != nil:
+		t.Fatal(k.err)
 	}
-	return c
+	return k.cluster
 }
 
 // judged hands in at all runners while something happens, and judges it: no key runs twice, and nothing that was served is lost.
@@ -54,8 +123,7 @@
 
 // Disks that are full or hang, of a voter and of one that only holds copies, while they and others run: they say so, go on once the disk
 // does, and are lost with it in the middle.
-func TestFullAndHangingDisks(t *testing.T) {
-	c := keeping(t, Options{Bins: map[string]string{"n3": faulty, "n4": faulty}})
+func playFullAndHangingDisks(t *testing.T, c *Cluster) {
 	faults := script(t, `
 		100ms full n2 3s
 		300ms kill n4 --wipe --back 200ms
@@ -73,8 +141,7 @@
 
 // Clocks that are minutes apart: a key is remembered for its window by each runner's own clock, and machines are lost meanwhile. The bill is
 // not looked at: accounts tell uses apart by their times, and take those of clocks that are further apart than a window for several.
-func TestClocksApart(t *testing.T) {
-	c := keeping(t, Options{Bins: map[string]string{"n2": faulty, "n3": faulty}, Clocks: map[string]time.Duration{"n2": 7 * time.Minute, "n3": -5 * time.Minute}})
+func playClocksApart(t *testing.T, c *Cluster) {
 	judged(t, c, func() error {
 		for _, n := range c.Nodes { // the next one goes once all copies are made: more than half of the voters at once would have nothing
 			time.Sleep(200 * time.Millisecond)
@@ -89,20 +156,28 @@
 // before is the build that landed before this one: a fleet goes over to a new version one runner after the other, and back.
 const before = "85a2e8a"
 
-// Runners of two versions are one fleet: each goes over to the new one while the others serve, and one goes back.
-func TestTwoVersions(t *testing.T) {
-	dir := t.TempDir()
-	old := filepath.Join(dir, "old")
-	if err := exec.Command("git", "-C", root(t), "cat-file", "-e", before).Run(); err != nil {
-		t.Skipf("the checkout does not have %s: %v", before, err)
+// withOldVersion are options of runners of the version before.
+func withOldVersion(t *testing.T) (Options, error) {
+	checkout, err := root()
+	if err != nil {
+		return Options{}, err
 	}
-	build := exec.Command("sh", "-c", "mkdir src && git -C \"$0\" archive "+before+" | tar -x -C src && cd src && go build -o ../old ./cmd/ryepaddle", root(t))
+	if err := exec.Command("git", "-C", checkout, "cat-file", "-e", before).Run(); err != nil {
+		return Options{}, fmt.Errorf("%w, which does not have %s: %w", errSkip, before, err)
+	}
+	dir := t.TempDir()
+	build := exec.Command("sh", "-c", "mkdir src && git -C \"$0\" archive "+before+" | tar -x -C src && cd src && go build -o ../old ./cmd/ryepaddle", checkout)
 	build.Dir = dir
 	if out, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("%s cannot be built: %v\n%s", before, err, out)
+		return Options{}, fmt.Errorf("%s cannot be built: %w\n%s", before, err, out)
 	}
-	bins := map[string]string{"n1": old, "n2": old, "n3": old, "n4": old}
-	c := keeping(t, Options{Bins: bins})
+	old := filepath.Join(dir, "old")
+	return Options{Bins: map[string]string{"n1": old, "n2": old, "n3": old, "n4": old}}, nil
+}
+
+// Runners of two versions are one fleet: each goes over to the new one while the others serve, and one goes back.
+func playTwoVersions(t *testing.T, c *Cluster) {
+	old := c.opt.Bins["n1"]
 	judged(t, c, func() error {
 		for _, to := range []struct{ name, bin string }{{"n4", bin}, {"n1", bin}, {"n1", old}, {"n2", bin}} {
 			n, err := c.Node(to.name)
@@ -110,7 +185,7 @@
 				err = n.Drain()
 			}
 			if err == nil {
-				bins[to.name] = to.bin
+				c.opt.Bins[to.name] = to.bin
 				err = errors.Join(n.Start(), c.Ready(60*time.Second))
 			}
 			if err != nil {
@@ -123,11 +198,7 @@
 }
 
 // root is the folder of the checkout.
-func root(t *testing.T) string {
-	t.Helper()
+func root() (string, error) {
 	out, err := exec.Command("go", "list", "-m", "-f", "{{.Dir}}").Output()
-	if err != nil {
-		t.Fatal(err)
-	}
-	return strings.TrimSpace(string(out))
+	return strings.TrimSpace(string(out)), err
 }
