--- /dev/null
+++ b/internal/app/drain.go
@@ -0,0 +1,49 @@
+package app
+
+// Times of a drain, in microseconds.
+const (
+	drainLook  = 20_000
+	drainSpare = 150_000 // the program is gone so long before it is stopped
+)
+
+// drain leaves service: late arrivals are refused, all that was read is answered, then the program ends.
+func (r *Program) drain() {
+	if r.leaving {
+		return
+	}
+	if r.replaced() {
+		r.retire()
+		return
+	}
+	r.leaving = true
+	began, stop := r.loop.Now(), r.cfg.Stop // a HUP that comes now does not move the time at which the process is stopped
+	evDrain.Log(r.core.Open())
+	r.core.Drain(stop)
+	if r.peers != nil {
+		r.peers.Duties().GiveBack()
+	}
+	if r.roster != nil {
+		r.roster.Set(false)
+	}
+	grace := min(r.cfg.Settings.DrainGrace.Microseconds()+100_000, stop/2)
+	r.loop.After(grace, func() {
+		if r.listens {
+			r.front.Leave()
+		}
+		if r.second != nil {
+			r.second.Leave()
+		}
+	})
+	var look func()
+	look = func() {
+		past := r.loop.Now() - began
+		if r.conns() == 0 && past > grace && !r.front.Listens() || past > stop-drainSpare {
+			r.front.Finish()
+			evDrained.Log(past/1000, r.core.Open(), r.core.Stats())
+			r.loop.Stop()
+			return
+		}
+		r.loop.After(drainLook, look)
+	}
+	look()
+}
--- /dev/null
+++ b/internal/app/reload.go
@@ -0,0 +1,139 @@
+package app
+
+import (
+	"runtime/debug"
+	"slices"
+
+	"shalesail/internal/config"
+)
+
+// files are where the program is told what it is told.
+type files struct{ platform, operator string }
+
+// read reads and checks all of it. Without an operator's file that part is nil.
+func (f files) read() (cfg *config.Platform, op *config.Operator, err error) {
+	if cfg, err = config.ReadPlatform(f.platform); err != nil {
+		return nil, nil, err
+	}
+	if f.operator != "" {
+		if op, err = config.ReadOperator(f.operator, cfg); err != nil {
+			return nil, nil, err
+		}
+	}
+	return cfg, op, config.Whole(cfg, op)
+}
+
+// limitMemory leaves half the limit for stacks, the runtime's own and what the system books for sockets.
+func limitMemory(cfg *config.Platform, parts int) {
+	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 / 2 / int64(parts))
+}
+
+// reload reads again all that the program is told, and takes it if the whole of it holds. A restart would forget the
+// keys, and fail what is open. The files are read beside the loop, which goes on meanwhile.
+func (r *Program) reload() {
+	if r.reading {
+		r.more = true
+		return
+	}
+	r.reading = true
+	go func() {
+		cfg, op, err := r.files.read()
+		r.loop.Deliver(func() {
+			r.reading = false
+			if err == nil {
+				err = r.take(cfg, op)
+			}
+			if r.accepted++; err != nil {
+				r.accepted--
+				r.invalid++
+				evNotTaken.Log(err)
+			}
+			if r.more { // what was read may be older than the last HUP
+				r.more = false
+				r.reload()
+			}
+		})
+	}()
+}
+
+// take moves to a new configuration. What is open goes on, with its keys and the numbers of notices; listeners stay
+// where they are.
+func (r *Program) take(cfg *config.Platform, op *config.Operator) error {
+	// What runs, the keys and what the module has learned go by class and tenant, and links once begun stay.
+	switch {
+	case cfg.Name != r.cfg.Name:
+		return changed.New("config: field name: %q, this is %s", cfg.Name, r.cfg.Name)
+	case cfg.Engine.IsValid() != r.cfg.Engine.IsValid() || cfg.Backend.IsValid() != r.cfg.Backend.IsValid() ||
+		cfg.Roster.IsValid() != r.cfg.Roster.IsValid():
+		return changed.New("config: engine, backend and roster can be moved, not added or taken away, while the program runs")
+	case !slices.Equal(cfg.Meters, r.cfg.Meters):
+		return changed.New("config: field settings: the gauges cannot change while the program runs")
+	}
+	if err := cfg.Has(r.cfg); err != nil {
+		return err
+	}
+	set, err := cfg.Settings.After(r.cfg.Settings)
+	if err == nil {
+		_, err = r.core.Configure(r.part(set))
+	}
+	if err != nil {
+		return changed.New("config: field settings: %w", err)
+	}
+	cfg.Settings = set
+	r.nameClasses(set)
+	if cfg.Roster.IsValid() && cfg.Roster != r.cfg.Roster {
+		if err := r.roster.Move(cfg.Roster); err != nil {
+			evRoster.Log(err)
+		}
+	}
+	if cfg.Ops != r.cfg.Ops {
+		evLater.Log("ops of the platform's file")
+		cfg.Ops = r.cfg.Ops
+	}
+	if cfg.Listen != r.cfg.Listen {
+		evLater.Log("listen of the platform's file")
+		cfg.Listen = r.cfg.Listen
+	}
+	cfg.Seed = r.cfg.Seed
+	limitMemory(cfg, r.parts)
+	r.link.Move(cfg.Engine)
+	r.pool.Move(cfg.Backend)
+	r.cfg = cfg
+	servers := 0
+	if op == nil {
+		r.route(nil)
+	} else {
+		if op.ListenAddr != r.op.ListenAddr || op.HasFront() != r.op.HasFront() {
+			evLater.Log("listen")
+		}
+		r.route(op)
+		r.front.SetMaxResponse(op.Limits.Flow().Keep)
+		if op.Control != r.op.Control {
+			evLater.Log("control")
+		}
+		if op.Store != r.op.Store {
+			evLater.Log("store")
+		}
+		if op.Traces != r.op.Traces {
+			evLater.Log("traces")
+		}
+		if op.Usage != r.op.Usage {
+			evLater.Log("usage")
+		}
+		r.takePeers(&op.Peers)
+		if op.Record != r.op.Record {
+			evLater.Log("record")
+		}
+		if r.second != nil && op.HasFront() {
+			r.second.SetOptions(r.secondOptions(op))
+		}
+		if op.Log != r.op.Log && r.out != nil {
+			setLog(r.out, &op.Log)
+		}
+		r.watchList(op)
+		r.op, servers = op, len(op.Servers)
+	}
+	r.takeDescriptors()
+	evTaken.Log(cfg.Engine, cfg.Backend, cfg.Roster, servers)
+	return nil
+}
--- /dev/null
+++ b/internal/app/routes.go
@@ -0,0 +1,105 @@
+package app
+
+import (
+	"shalesail"
+	"shalesail/internal/config"
+	"shalesail/internal/core"
+	"shalesail/internal/front/uwsgi"
+	"shalesail/internal/queue"
+	"shalesail/internal/upstream"
+)
+
+// route says where each class runs: on the engine, but what the operator's file leads to uwsgi servers. Groups that are
+// there already take the file's servers and limits.
+func (r *Program) route(op *config.Operator) {
+	classes := r.cfg.Settings.Classes
+	routes, behind := r.routes, r.behind
+	r.routes, r.behind = make([]core.Runner, len(classes)), make([]*upstream.Group, len(classes))
+	for i := range classes {
+		if r.routes[i] = r.link; classes[i].Dropped { // what is open of it goes on where it was led
+			r.routes[i], r.behind[i] = routes[i], behind[i]
+		}
+	}
+	if op == nil {
+		return
+	}
+	opt := upstream.Options{ConnectWithin: op.Limits.ConnectMs * 1000, Flow: op.Limits.Flow(), Ahead: op.Limits.ServerAhead,
+		KeyVar: op.KeyVar, TenantVar: op.Tenant.Var, Route: op.Route(r.cfg.Settings.Servers), Classes: len(classes), Tries: op.Limits.Tries,
+		Check: upstream.Check{Path: op.Routing.Check.Path, Within: op.Routing.Check.WithinMs * 1000}}
+	if r.spans != nil {
+		opt.Trace = r.traceOf
+	}
+	if op.Peers.On() && len(op.Peers.Duties.Checks) > 0 {
+		opt.Checks, opt.Self = checks{r}, r.cfg.Name
+	}
+	for _, t := range r.cfg.Settings.Tenants {
+		opt.Tenants = append(opt.Tenants, t.Name)
+	}
+	for i, class := range classes {
+		name := op.GroupsByUse[class.Name]
+		if name == "" || class.Dropped {
+			continue
+		}
+		if r.groups[name] == nil {
+			h := queue.New(queue.Host{Now: r.loop.Now, Post: r.loop.Post, After: func(d int64, fn func()) { r.loop.After(d, fn) },
+				Room: func() int { return r.groups[name].Room() }}, r)
+			r.groups[name] = upstream.New(r.loop, name, r.cfg.Name, r.cfg.Seed, h, opt)
+			r.holds[name] = h
+			h.Before(r.groups[name])
+		}
+		r.routes[i], r.behind[i] = r.holds[name], r.groups[name]
+	}
+	for name, h := range r.holds {
+		h.Configure(op.PoolsOf(name, r.cfg))
+	}
+	for _, g := range r.groups {
+		g.Update(op.Servers, opt)
+	}
+}
+
+// nameClasses notes what the classes are called.
+func (r *Program) nameClasses(set shalesail.Settings) {
+	names := make([]string, len(set.Classes))
+	for i, c := range set.Classes {
+		names[i] = c.Name
+	}
+	r.names.Store(&names)
+}
+
+// className is what the class at a place is called.
+func (r *Program) className(class int) string { return (*r.names.Load())[class] }
+
+// secondOptions sets up the second front as the operator's file says.
+func (r *Program) secondOptions(op *config.Operator) uwsgi.Options {
+	opt := uwsgi.Options{Listen: op.ListenAddr, MaxConns: op.Limits.Connections, PerAddress: op.Limits.PerAddress, MaxVars: op.Limits.VarsKB << 10,
+		Flow: op.Limits.Flow(), ReadWithin: op.Limits.ReadMs * 1000,
+		Lead: op.Lead, HealthPath: op.HealthPath, TenantVar: op.Tenant.Var, KeyVar: op.KeyVar, FirstVar: op.FirstVar,
+		SizeKB: op.Limits.RequestKB, Seed: r.cfg.Seed}
+	for _, p := range op.Routes {
+		class := r.cfg.Settings.Class(p.Class)
+		opt.Routes = append(opt.Routes, uwsgi.Route{Prefix: p.Path, Class: class, Due: p.DeadlineMs * 1000, Key: p.KeyFrom,
+			Safe: class >= 0 && r.cfg.Settings.Classes[class].Effect == shalesail.Safe, Remote: p.Group != ""})
+	}
+	return opt
+}
+
+// Began passes the beginnings of results on to the core.
+func (r *Program) Began(a *core.Attempt, res *core.Result) bool { return r.core.Began(a, res) }
+
+// Ended passes the ends of attempts on to the core, for groups that may be there before or after it.
+func (r *Program) Ended(a *core.Attempt, o core.Outcome, res *core.Result) { r.core.Ended(a, o, res) }
+
+// again decides whether a request is tried once more: never on the engine, and on the servers of its group as that says.
+func (r *Program) again(t core.Try) bool {
+	g := r.behind[t.Class]
+	return g != nil && g.Again(t)
+}
+
+// backOf is how long a caller stays away whom nobody could serve.
+func (r *Program) backOf(class int) int64 {
+	g := r.behind[class]
+	if g == nil {
+		return 0
+	}
+	return max(g.ComeBack(), r.routes[class].(*queue.Runner).Back(class))
+}
--- a/internal/app/status.go
+++ b/internal/app/status.go
@@ -7,6 +7,9 @@
 	"shalesail/internal/logs"
 )
 
+// statusEvery is between two status lines, in microseconds.
+const statusEvery = 10_000_000
+
 // tableMost bounds the lines of a table, which go through the log.
 const tableMost = 400
 
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -8,15 +8,12 @@
 package claims
 
 import (
-	"encoding/binary"
 	"errors"
 	"fmt"
 	"hash/fnv"
 	"log/slog"
 	"os"
 	"path/filepath"
-	"strconv"
-	"strings"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -149,11 +146,6 @@
 	return g.scan() // the number is of this process's own making, and tells nothing of what was there before
 }
 
-func (g *Ledger) aliveName(life uint32) string { return fmt.Sprintf("%s.%08x.alive", g.base, life) }
-func (g *Ledger) logName(life uint32, gen uint64) string {
-	return fmt.Sprintf("%s.%08x.%d.log", g.base, life, gen)
-}
-
 // Close gives everything back but the files, which the others go by.
 func (g *Ledger) Close() {
 	for _, f := range []*os.File{g.lock, g.log, g.alive} {
@@ -187,109 +179,6 @@
 	return false
 }
 
-// readEpoch reads the number that grows whenever there are other files than before. It stands in the shared lock's file.
-func (g *Ledger) readEpoch() uint64 {
-	var b [8]byte
-	_, _ = unix.Pread(int(g.lock.Fd()), b[:], 0) // one that was never written is nought
-	return binary.LittleEndian.Uint64(b[:])
-}
-
-func (g *Ledger) bumpEpoch() error {
-	g.epoch = g.readEpoch() + 1
-	_, err := g.lock.WriteAt(binary.LittleEndian.AppendUint64(nil, g.epoch), 0)
-	return err
-}
-
-// newLog begins a log with what is known, in place of the one that there is. The shared lock is held.
-func (g *Ledger) newLog(known func(func(core.Kept))) error {
-	name := g.logName(g.cfg.Life, g.gen+1)
-	f, err := os.OpenFile(name+".new", os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
-	if err != nil {
-		return err
-	}
-	b, err := store.AppendFrame(nil, &store.Record{Kind: store.Last}) // one that holds nothing is one that was given up
-	if known != nil {
-		add := func(r *store.Record) {
-			if err == nil {
-				b, err = store.AppendFrame(b, r)
-			}
-		}
-		known(func(k core.Kept) { add(g.record(k)) })
-		if g.serves {
-			add(&store.Record{Kind: store.Mark})
-		}
-	}
-	if err == nil {
-		_, err = f.WriteAt(b, 0)
-	}
-	if err == nil {
-		err = os.Rename(name+".new", name)
-	}
-	if err == nil {
-		err = g.bumpEpoch()
-	}
-	if err != nil {
-		f.Close()
-		os.Remove(name + ".new")
-		return err
-	}
-	if g.log != nil {
-		g.log.Close()
-		os.Remove(g.logName(g.cfg.Life, g.gen))
-	}
-	g.log, g.size = f, int64(len(b))
-	g.gen++
-	g.least, g.lost = max(newLogFrom, 2*g.size), false
-	return nil
-}
-
-// write appends a claim. Alone, a process without room goes on: its log is emptied, which takes none, so that one that comes knows that it
-// does not know, and it is written anew once there is room. All that was claimed is in the table.
-func (g *Ledger) write(k core.Kept) error {
-	var err error
-	if g.lost {
-		err = g.newLog(g.table.Known)
-	}
-	if err == nil {
-		err = g.append(g.record(k))
-	}
-	if err == nil || g.living() > 0 {
-		return err
-	}
-	g.failed(err)
-	if e := g.log.Truncate(0); e != nil {
-		return e
-	}
-	g.size, g.lost = 0, true
-	return nil
-}
-
-// record is what is written of a key. Results are for others: alone, nobody reads them.
-func (g *Ledger) record(k core.Kept) *store.Record {
-	kind := store.Begun
-	if k.Ended && g.living() > 0 {
-		kind = store.Ended
-	}
-	return keeper.Record(kind, k, g.loop.Unix())
-}
-
-func (g *Ledger) append(r *store.Record) error {
-	if g.lock == nil {
-		return os.ErrClosed
-	}
-	var err error
-	if g.frame, err = store.AppendFrame(g.frame[:0], r); err != nil {
-		return err
-	}
-	// At its place and not at the end: what a full disk took half of is written over.
-	if _, err = g.log.WriteAt(g.frame, g.size); err != nil {
-		_ = g.log.Truncate(g.size)
-		return err
-	}
-	g.size += int64(len(g.frame))
-	return nil
-}
-
 // Claim has it written that a run begins. Under the lock, once what others have written is read, free is asked whether the key is
 // still ours. Done is called once, with whether it is; an error: it is not known, and nothing may run.
 func (g *Ledger) Claim(k core.Kept, within int64, free func() bool, done func(mine bool, err error)) {
@@ -495,55 +384,6 @@
 	return nil
 }
 
-func (g *Ledger) parse(name string) (life uint32, gen uint64, ok bool) {
-	text, ours := strings.CutPrefix(name, g.base+".")
-	text, isLog := strings.CutSuffix(text, ".log")
-	if !ours || !isLog {
-		return 0, 0, false
-	}
-	a, b, ok := strings.Cut(text, ".")
-	l, err := strconv.ParseUint(a, 16, 32)
-	n, err2 := strconv.ParseUint(b, 10, 64)
-	return uint32(l), n, ok && err == nil && err2 == nil
-}
-
-// read takes the records that a process has written since. One that is not whole yet is read again later; of a process that is dead
-// it never will be.
-func (g *Ledger) read(p *peer) error {
-	var b []byte
-	part := make([]byte, readPart)
-	for {
-		n, err := unix.Pread(int(p.log.Fd()), part, p.at+int64(len(b)))
-		if err != nil {
-			return fmt.Errorf("%s: %w", p.log.Name(), err)
-		}
-		b = append(b, part[:n]...)
-		used := 0
-		for {
-			r, size, err := store.ReadFrame(b[used:])
-			if err != nil {
-				break
-			}
-			used += size
-			g.take(p, r)
-		}
-		p.at += int64(used)
-		if b = b[used:]; n < len(part) {
-			return nil
-		}
-	}
-}
-
-func (g *Ledger) take(p *peer, r *store.Record) {
-	switch r.Kind {
-	case store.Mark:
-		p.ready = true
-	case store.Begun, store.Ended, store.Forgotten:
-		p.keys++
-		g.table.Heard(keeper.KeptOf(r), r.Kind == store.Forgotten)
-	}
-}
-
 // sweep removes files of the dead of which no key can be asked for any more. The shared lock is held.
 func (g *Ledger) sweep() {
 	old := time.Now().Add(-time.Duration(g.cfg.Window) * time.Microsecond)
--- /dev/null
+++ b/internal/core/settings.go
@@ -0,0 +1,85 @@
+package core
+
+import (
+	"slices"
+
+	"shalesail"
+)
+
+// droppedFor is for how long after a change of the settings requests of a class that they have not any more are taken: callers hear
+// of it late.
+const droppedFor = 5_000_000
+
+// Configure takes settings that were changed while the program runs, and gives them as they are in force, with the places of classes
+// that they have dropped.
+func (c *Core) Configure(set shalesail.Settings) (shalesail.Settings, error) {
+	set, err := usable(set).After(c.set)
+	if err != nil {
+		return set, err
+	}
+	if c.drainAt != 0 { // the notice was given under the grace of then
+		set.DrainGrace = c.set.DrainGrace
+	}
+	if err := c.gate.module.Configure(set); err != nil {
+		return set, err
+	}
+	for i := range set.Classes {
+		if i < len(c.set.Classes) && set.Classes[i].Dropped && !c.set.Classes[i].Dropped {
+			c.droppedAt[i] = c.host.Now()
+		}
+	}
+	grow := len(set.Classes) - len(c.set.Classes)
+	c.counts, c.droppedAt = append(c.counts, make([]Stats, grow)...), append(c.droppedAt, make([]int64, grow)...)
+	c.set = set
+	c.hearAgain()
+	return set, nil
+}
+
+// Class finds a class by its name.
+func (c *Core) Class(name string) (int, bool) {
+	if i := c.set.Class(name); i >= 0 {
+		return i, true
+	}
+	for i := range c.set.Classes {
+		if c.set.Classes[i].Name == name && c.host.Now() < c.droppedAt[i]+droppedFor {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// Dropped tells whether there was a class by that name.
+func (c *Core) Dropped(name string) bool {
+	return slices.ContainsFunc(c.set.Classes, func(class shalesail.Class) bool { return class.Name == name && class.Dropped })
+}
+
+// NoTenant is the place of requests of nobody: where there are no tenants, all are.
+const NoTenant = -1
+
+// Tenant finds a tenant by its name. Where there are none, a name says nothing.
+func (c *Core) Tenant(name string) (int, bool) {
+	if len(c.set.Tenants) == 0 {
+		return NoTenant, true
+	}
+	for i := range c.set.Tenants {
+		if c.set.Tenants[i].Name == name {
+			return i, true
+		}
+	}
+	return NoTenant, false
+}
+
+// Keyed tells whether requests of the class carry a key.
+func (c *Core) Keyed(class int) bool { return c.set.Classes[class].Effect == shalesail.Keyed }
+
+// usable is what the module is told of the settings: no more than this program can carry out. What they allow beyond that is no reason
+// not to serve. The engine's protocol has no word for stopping a run nor for going on without a call, and an answer is served with what
+// a run made for that request, so that reads do not share results.
+func usable(set shalesail.Settings) shalesail.Settings {
+	set.Halt, set.FreshFor = shalesail.HaltNone, 0
+	set.Classes = slices.Clone(set.Classes)
+	for i := range set.Classes {
+		set.Classes[i].OmitWorth = 0
+	}
+	return set
+}
--- /dev/null
+++ b/internal/front/uwsgi/conn.go
@@ -0,0 +1,275 @@
+package uwsgi
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"strconv"
+
+	"shalesail/internal/cgi"
+	"shalesail/internal/core"
+	"shalesail/internal/flow"
+	"shalesail/internal/httpmsg"
+	"shalesail/internal/loop"
+	"shalesail/internal/uwsgi"
+)
+
+// conn is one connection of a caller, and its one request.
+type conn struct {
+	*loop.Conn
+	front    *Front
+	began    int64
+	addr     netip.Addr // of the caller; not valid on a unix socket
+	timer    *loop.Timer
+	sent     bool // the request was handed to the core
+	answered bool
+	headOnly bool
+	req      *core.Request // its variables have come; nil: not yet
+	framing  *httpmsg.Body
+	body     []byte      // of it so far
+	extra    int         // bytes that came behind the request
+	stream   core.Stream // the rest of its answer; nil: there is none
+	id       flow.ID
+	route    *Route
+	toEnd    bool             // its body ends as the caller closes its side
+	rest     bool             // its body follows what was handed over
+	upload   core.UploadTaker // who takes that; nil: nobody yet
+	pending  []byte           // of it that waits for somebody
+	uploadID flow.ID
+	waits    bool // the caller waits for the server
+	ticket   core.Ticket
+}
+
+// Connected implements loop.Handler.
+func (c *conn) Connected() {}
+
+// Data implements loop.Handler.
+func (c *conn) Data(b []byte) (int, error) {
+	if c.rest {
+		return c.feed(b)
+	}
+	if c.sent || c.answered { // more than one request: it is thrown away, as long as it ends
+		if c.extra += len(b); c.extra > maxExtra && c.uploadID == 0 {
+			return len(b), loop.ErrFlood
+		}
+		return len(b), nil
+	}
+	used := 0
+	if c.req == nil {
+		h, n, err := uwsgi.ReadHead(b, c.front.opt.MaxVars)
+		switch {
+		case err != nil:
+			c.reject(statusOf(err), err)
+			return len(b), nil
+		case n == 0:
+			return 0, nil
+		case h.Ping:
+			c.answered = true
+			c.timer.Stop()
+			c.Write(uwsgi.AppendPing(nil))
+			c.Leave()
+			return len(b), nil
+		}
+		if !c.begin(h) {
+			return len(b), nil
+		}
+		if used = n; c.rest {
+			n, err := c.feed(b[used:])
+			return used + n, err
+		}
+	}
+	for {
+		data, n, done, err := c.framing.Next(b[used:], false)
+		used += n
+		switch {
+		case err != nil:
+			c.reject(400, err)
+		case len(c.body)+len(data) > c.front.opt.Flow.Body:
+			if c.front.opt.Flow.PlanLong(c.route.Safe, c.route.Remote) == flow.NeedsLength {
+				c.reject(411, errors.New("a body of this size needs its length stated"))
+			} else {
+				c.reject(413, uwsgi.ErrBody)
+			}
+		case done:
+			c.body = append(c.body, data...)
+			c.timer.Stop()
+			c.submit()
+		case n == 0:
+			return used, nil
+		default:
+			c.body = append(c.body, data...)
+			continue
+		}
+		return len(b), nil // what comes behind a request is thrown away
+	}
+}
+
+// begin takes the variables of a request, and reports whether its body is to be read: what is wrong without it is
+// answered at once.
+func (c *conn) begin(h *uwsgi.Head) bool {
+	f := c.front
+	vars := make([]cgi.Var, len(h.Vars))
+	for i, v := range h.Vars {
+		vars[i] = cgi.Var(v)
+	}
+	r, err := cgi.Read(vars, f.opt.KeyVar, f.opt.TenantVar, f.opt.FirstVar)
+	var bad *cgi.Error
+	if errors.As(err, &bad) {
+		c.reject(bad.Status, err)
+		return false
+	}
+	c.headOnly = r.Method == "HEAD"
+	if f.opt.HealthPath != "" && r.Path == f.opt.HealthPath {
+		status := 200
+		if !f.good {
+			status = 503
+		}
+		c.respond(&uwsgi.Response{Status: status})
+		return false
+	}
+	q, route, status, err := f.request(r)
+	plan := flow.WholeBody
+	if err == nil {
+		c.route = route
+		if plan = f.opt.Flow.PlanBody(c.route.Safe, c.route.Remote, r.Length, r.Chunked); plan == flow.TooLarge {
+			status, err = 413, fmt.Errorf("%w: %d bytes", uwsgi.ErrBody, r.Length)
+		}
+	}
+	if err != nil {
+		c.reject(status, err)
+		return false
+	}
+	c.req, c.framing = q, httpmsg.ByLength(max(r.Length, 0))
+	switch {
+	case r.Chunked:
+		c.framing = httpmsg.ByChunks()
+	case r.ToEnd:
+		c.framing, c.toEnd = httpmsg.ToEnd(), true
+	}
+	q.Arrived = f.arrived(r, c.began)
+	if r.Continue {
+		c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	}
+	if plan == flow.StreamBody {
+		c.rest = true
+		q.Rest, q.Length = c, r.Length
+		f.ids++
+		c.uploadID = f.ids
+		f.flows.Open(c.uploadID, f.loop.Now())
+		c.patient()
+		c.submit()
+	}
+	return true
+}
+
+// submit hands over a request that has come whole.
+func (c *conn) submit() {
+	c.req.Body, c.req.Asker = c.body, c
+	c.body = nil
+	c.sent, c.extra = true, 0
+	c.ticket = c.front.core.Submit(c.req)
+}
+
+func statusOf(err error) int {
+	switch {
+	case errors.Is(err, uwsgi.ErrBody):
+		return 413
+	case errors.Is(err, uwsgi.ErrVars):
+		return 431
+	}
+	return 400
+}
+
+// End implements loop.Handler. A caller that closes before its answer cancels the request.
+func (c *conn) End() bool {
+	if c.toEnd && !c.answered {
+		if !c.sent {
+			c.timer.Stop()
+			c.submit()
+		}
+		return true
+	}
+	if !c.sent && !c.answered {
+		evUnfinished.Log()
+	}
+	return c.answered
+}
+
+// Closed implements loop.Handler.
+func (c *conn) Closed(err error) {
+	if errors.Is(err, loop.ErrPeerSlow) {
+		evSlow.Log(err)
+	}
+	c.timer.Stop()
+	if c.uploadID != 0 {
+		c.rest = false
+		c.endUpload()
+	}
+	delete(c.front.conns, c)
+	if c.addr.IsValid() {
+		if c.front.from[c.addr]--; c.front.from[c.addr] == 0 {
+			delete(c.front.from, c.addr)
+		}
+	}
+	if s := c.stream; s != nil {
+		c.stream = nil
+		c.front.flows.Close(c.id)
+		s.Cancel()
+	}
+	if c.sent && !c.answered {
+		c.answered = true
+		c.front.core.Abandon(c.ticket)
+	}
+}
+
+func (c *conn) reject(status int, err error) {
+	evBad.Log(status, err)
+	c.respond(&uwsgi.Response{Status: status, Body: []byte(err.Error() + "\n"),
+		Fields: []httpmsg.Field{{Name: "Content-Type", Value: "text/plain"}}})
+}
+
+func (c *conn) respond(r *uwsgi.Response) {
+	if c.answered {
+		return
+	}
+	c.answered = true
+	c.timer.Stop()
+	if c.rest {
+		c.Detach()
+	}
+	c.Write(uwsgi.AppendResponse(nil, r, c.headOnly))
+	c.Leave()
+}
+
+// Answer implements core.Asker.
+func (c *conn) Answer(a core.Answer) {
+	r := &uwsgi.Response{}
+	switch a.Kind {
+	case core.Served:
+		if a.Result.Rest != nil {
+			c.begun(a.Result)
+			return
+		}
+		r.Status, r.Body = a.Result.Status, a.Result.Body
+		for _, f := range a.Result.Fields {
+			r.Fields = append(r.Fields, httpmsg.Field(f))
+		}
+	case core.Refused:
+		r.Status = 503
+		if ms := (a.ComeBack + 999) / 1000; ms > 0 {
+			r.Fields = []httpmsg.Field{{Name: "Retry-After", Value: strconv.FormatInt(max((ms+999)/1000, 1), 10)},
+				{Name: "X-Come-Back-Ms", Value: strconv.FormatInt(ms, 10)}}
+		}
+	case core.Late:
+		r.Status = 504
+	case core.Ran:
+		c.reject(409, errors.New("it ran, and its result was not kept"))
+		return
+	case core.Misused:
+		c.reject(422, errors.New(a.Reason.String()))
+		return
+	default:
+		r.Status = 502
+	}
+	c.respond(r)
+}
--- /dev/null
+++ b/internal/front/uwsgi/request.go
@@ -0,0 +1,85 @@
+package uwsgi
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"unicode"
+
+	"shalesail/internal/cgi"
+	"shalesail/internal/core"
+	"shalesail/internal/traceparent"
+)
+
+// arrived is when the request came: as a front end before this one stamped it, if that can be, or when its
+// connection was taken.
+func (f *Front) arrived(r *cgi.Request, began int64) int64 {
+	ms, err := strconv.ParseInt(r.Get("HTTP_X_QUEUE_START"), 10, 64)
+	if err != nil || ms <= 0 || ms > 1<<50 || ms*1000 > f.loop.Unix() || ms*1000 < f.loop.Unix()-maxQueued {
+		return began
+	}
+	return ms * 1000
+}
+
+// first is when the request was asked for first, as its caller says, if that can be: one that was turned away and comes back looks like a
+// new one else. Nought: nobody says.
+func (f *Front) first(r *cgi.Request) int64 {
+	if f.opt.FirstVar == "" {
+		return 0
+	}
+	ms, err := strconv.ParseInt(r.Get(f.opt.FirstVar), 10, 64)
+	if err != nil || ms <= 0 || ms > 1<<50 || ms*1000 > f.loop.Unix() || ms*1000 < f.loop.Unix()-maxQueued {
+		return 0
+	}
+	return ms * 1000
+}
+
+// maxQueued is the longest wait before this hop that is believed.
+const maxQueued = 60_000_000
+
+// request makes what the core gets of a request, but for its body, and tells which route it takes.
+func (f *Front) request(r *cgi.Request) (*core.Request, *Route, int, error) {
+	q := &core.Request{Streams: true, SizeKB: f.opt.SizeKB, Key: r.Get(f.opt.KeyVar), Trace: r.Get(traceparent.Var), Caller: maxPlatformCaller}
+	m := r.Facts()
+	n := f.opt.Lead.Of(m)
+	if n < 0 {
+		return nil, nil, 404, fmt.Errorf("no class at %q", r.Path)
+	}
+	route := &f.opt.Routes[n]
+	q.Class, q.Due = route.Class, route.Due
+	var ok bool
+	if q.Tenant, ok = f.core.Tenant(m.School); !ok {
+		return nil, nil, 403, fmt.Errorf("unknown tenant %q", m.School)
+	}
+	if route.Key != nil {
+		// What was written in percent signs may hold what no variable may.
+		if q.Key = route.Key.Text(m); strings.ContainsFunc(q.Key, unicode.IsControl) {
+			return nil, nil, 400, fmt.Errorf("the key %q holds a control character", q.Key)
+		}
+	}
+	if f.core.Keyed(q.Class) && q.Key == "" {
+		return nil, nil, 400, fmt.Errorf("no %s in a keyed class", f.keyFrom(route))
+	}
+	if source, err := strconv.ParseUint(r.Get("HTTP_X_SOURCE"), 10, 32); err == nil {
+		q.Caller = uint32(source)
+	}
+	q.First = f.first(r)
+	q.Meta = make([]core.Field, 0, len(r.Vars))
+	for _, v := range r.Vars {
+		q.Meta = append(q.Meta, core.Field(v))
+	}
+	f.names += 0x9e3779b97f4a7c15 // odd, so that no name comes twice
+	q.Name = fmt.Sprintf("%016x", f.names)
+	return q, route, 0, nil
+}
+
+// keyFrom is where a route has its keys from.
+func (f *Front) keyFrom(r *Route) string {
+	if r.Key != nil {
+		return r.Key.String()
+	}
+	return f.opt.KeyVar
+}
+
+// maxPlatformCaller is the number of callers that give none; the platform numbers its balancers from 0.
+const maxPlatformCaller = 1 << 16
--- /dev/null
+++ b/internal/front/uwsgi/stream.go
@@ -0,0 +1,175 @@
+package uwsgi
+
+import (
+	"errors"
+
+	"shalesail/internal/core"
+	"shalesail/internal/flow"
+	"shalesail/internal/httpmsg"
+	"shalesail/internal/uwsgi"
+)
+
+// patient gives the caller its time to send more; while it waits for the server it need not.
+func (c *conn) patient() {
+	c.timer.Stop()
+	c.timer = c.front.loop.After(c.front.opt.ReadWithin, func() {
+		switch {
+		case !c.rest:
+		case c.waits:
+			c.patient()
+		case c.answered:
+			c.Abort(errors.New("the rest of the body does not come"))
+		default:
+			c.front.core.Abandon(c.ticket)
+			c.reject(408, errors.New("the rest of the body does not come"))
+		}
+	})
+}
+
+// feed takes more of a body that streams.
+func (c *conn) feed(b []byte) (used int, err error) {
+	for c.rest {
+		data, n, done, err := c.framing.Next(b[used:], false)
+		used += n
+		if err != nil {
+			return used, err
+		}
+		if n > 0 {
+			c.patient()
+			c.give(data)
+		}
+		if done {
+			c.timer.Stop()
+			if c.rest = false; len(c.pending) == 0 && c.upload != nil {
+				c.endUpload()
+			}
+			return len(b), nil
+		}
+		if n == 0 {
+			return used, nil
+		}
+	}
+	return len(b), nil
+}
+
+func (c *conn) give(data []byte) {
+	if c.upload != nil {
+		c.upload.TakeBody(data)
+		return
+	}
+	c.pending = append(c.pending, data...)
+	c.Untaken(len(c.pending))
+}
+
+// Attach implements core.Upload.
+func (c *conn) Attach(t core.UploadTaker) {
+	c.upload = t
+	pending := c.pending
+	c.pending = nil
+	c.Untaken(0)
+	if len(pending) > 0 {
+		t.TakeBody(pending)
+	}
+}
+
+// Untaken implements core.Upload: the caller waits for a slow server, and nobody else does.
+func (c *conn) Untaken(n int) {
+	c.waits = c.front.flows.Queued(c.uploadID, n, c.front.loop.Now())
+	c.Pause(c.waits)
+}
+
+// Detach implements core.Upload. What still comes is thrown away.
+func (c *conn) Detach() {
+	c.endUpload()
+	c.rest = false
+}
+
+func (c *conn) endUpload() {
+	c.upload, c.pending = nil, nil
+	c.front.flows.Close(c.uploadID)
+	c.waits = false
+	c.Pause(false)
+}
+
+// begun sends the first part of an answer that is still coming. From here on it can only go on or be cut.
+func (c *conn) begun(res *core.Result) {
+	f := c.front
+	c.answered = true
+	f.ids++
+	c.id, c.stream = f.ids, res.Rest
+	f.flows.Open(c.id, f.loop.Now())
+	fields := make([]httpmsg.Field, 0, len(res.Fields))
+	for _, x := range res.Fields {
+		fields = append(fields, httpmsg.Field(x))
+	}
+	c.OnDrain(c.look)
+	c.Write(uwsgi.AppendHead(nil, res.Status, fields, res.Length))
+	res.Rest.Attach(c)
+	c.Take(res.Body)
+}
+
+// Take implements core.Taker.
+func (c *conn) Take(part []byte) {
+	c.Write(part)
+	c.Push()
+	if c.IsClosed() {
+		return
+	}
+	c.look()
+	f := c.front
+	for id, over := f.flows.Victim(); over; id, over = f.flows.Victim() {
+		f.cut(id, "all readers together leave too much untaken")
+	}
+}
+
+// look sees how much waits for the reader, and has the server wait for it.
+func (c *conn) look() {
+	if c.stream != nil && !c.IsClosed() {
+		c.stream.Wait(c.front.flows.Queued(c.id, c.Queued(), c.front.loop.Now()))
+	}
+}
+
+// Finished implements core.Taker.
+func (c *conn) Finished() {
+	c.detach()
+	c.Leave()
+}
+
+// Cut implements core.Taker. The reader sees a reset: an ordinary end would make a response of no stated length look whole.
+func (c *conn) Cut() {
+	c.detach()
+	c.Abort(errors.New("the response was cut"))
+}
+
+func (c *conn) detach() {
+	c.stream = nil
+	c.OnDrain(nil)
+	c.front.flows.Close(c.id)
+}
+
+// cut ends the stream of one reader, or the body that one server does not take.
+func (f *Front) cut(id flow.ID, why string) {
+	for c := range f.conns {
+		if c.uploadID == id && !c.answered {
+			evBodyCut.Log(why)
+			f.core.Abandon(c.ticket)
+			c.reject(502, errors.New("the server does not take the body"))
+			return
+		}
+		if c.stream != nil && c.id == id {
+			evResponseCut.Log(c.Queued(), why)
+			s := c.stream
+			c.Cut()
+			s.Cancel()
+			return
+		}
+	}
+	f.flows.Close(id) // it is gone already
+}
+
+// sweep cuts off readers that take nothing.
+func (f *Front) sweep() {
+	for _, id := range f.flows.Stalled(f.loop.Now(), takeWithin) {
+		f.cut(id, "its reader takes nothing")
+	}
+}
--- a/internal/peers/grid/grid.go
+++ b/internal/peers/grid/grid.go
@@ -3,9 +3,7 @@
 // the other's column, or in its column and the other's row. It is free of I/O; the same names give the same grid everywhere.
 package grid
 
-import (
-	"slices"
-)
+import "slices"
 
 // Grid is how the runners of an installation stand.
 type Grid struct {
--- a/internal/simulator/balance/balance.go
+++ b/internal/simulator/balance/balance.go
@@ -7,17 +7,11 @@
 package balance
 
 import (
-	"encoding/binary"
 	"math"
 
-	"github.com/cespare/xxhash/v2"
-
 	"shalesail/internal/simulator/vtime"
 )
 
-// Choice is how a server is chosen among those that are willing.
-type Choice string
-
 // The ways of choosing.
 const (
 	Round    Choice = "round"    // one after the other
@@ -29,12 +23,6 @@
 	Fastest  Choice = "fastest"  // the lowest mean time of answers
 )
 
-// Choices are all ways of choosing.
-var Choices = []Choice{Round, Least, Two, Weighted, Told, Hash, Fastest}
-
-// Retry is what follows a try that brought no result.
-type Retry string
-
 // The ways of trying again.
 const (
 	Never     Retry = "never"
@@ -42,37 +30,6 @@
 	Limitless Retry = "limitless" // down the list, and round again, until the client's time is over
 )
 
-// Habit is how a balancer behaves. Times are microseconds.
-type Habit struct {
-	Choose     Choice
-	Retry      Retry
-	Tries      int     // of Bounded, in all
-	Budget     float64 // of Bounded: retries for each first try; 0: no such bound
-	Pause      int64   // before the list is gone through once more, and between bounded tries
-	Patience   float64 // the share of the class's deadline that one try waits; 1: as long as the client
-	CopyAfter  int64   // a safe request that is slow gets a second copy then; 0: none
-	Heeds      bool    // the free value, advice to stay away and the wish not to try elsewhere
-	CreditLife int64   // how long the free value is remembered
-	CheckEvery int64   // 0: no health checks
-	EjectAfter int     // failures in a row after which a server is avoided; 0: never
-	EjectFor   int64
-	Throttle   float64 // keeps requests back when fewer than one in so many is taken; 0: never
-	Subset     int     // how many servers it keeps to; 0: all
-	Stick      bool    // a keyed request whose try may have run goes to the same server again
-}
-
-// Request is one first try.
-type Request struct {
-	ID       uint64
-	Key      uint64 // of Hash
-	Safe     bool
-	Keyed    bool
-	Deadline int64 // how long its client waits in all
-}
-
-// Kind is how a try was answered.
-type Kind uint8
-
 // The kinds of answer.
 const (
 	Served Kind = iota + 1
@@ -81,17 +38,6 @@
 	Unreachable // no connection: it never ran
 )
 
-// Answer is what came back of a try.
-type Answer struct {
-	Kind     Kind
-	ComeBack int64   // of Refused: advice to stay away
-	Last     bool    // of Refused: the wish that nobody else is tried
-	Pressure float64 // the free value; negative: none came
-}
-
-// End is how a first try ended for its client.
-type End uint8
-
 // The ends.
 const (
 	EndServed End = iota + 1
@@ -101,30 +47,6 @@
 	EndUnsent   // no server was willing, and none was tried
 )
 
-// Try is one try of a request at a server.
-type Try struct {
-	Request *Request
-	Server  int
-	No      int // from 0
-	Sent    int64
-	Copy    bool
-	p       *pending
-	timer   vtime.Timer
-	over    bool
-}
-
-// Wire carries out what a balancer decides. It reports back through Answered and Checked, never from within a call.
-type Wire interface {
-	Send(t *Try)
-	Abort(t *Try) // nobody waits for this try any more; nothing need be reported of it
-	Check(server int)
-	Finish(r *Request, e End, by *Try) // by: the try that served it
-}
-
-// Draw gives a number from 0 to under 1 that depends on nothing but what it is asked for, so that two runs of a day
-// draw alike whatever else differs between them.
-type Draw func(request uint64, no, what int) float64
-
 const (
 	drawFirst = iota
 	drawSecond
@@ -215,14 +137,6 @@
 	return b
 }
 
-// score is the rank of a server for a key, by which either changes little when servers come and go.
-func score(key uint64, server int) uint64 {
-	var buf [16]byte
-	binary.LittleEndian.PutUint64(buf[:], key)
-	binary.LittleEndian.PutUint64(buf[8:], uint64(server))
-	return xxhash.Sum64(buf[:])
-}
-
 // Listed takes a change of the list. What is out at a server that went goes on.
 func (b *Balancer) Listed(i int, on bool) {
 	if s := &b.servers[i]; s.listed != on {
@@ -337,127 +251,6 @@
 	p.paused = b.clock.After(max(b.habit.Pause, 1000), func() { b.try(p, false) })
 }
 
-// choose is the server for the next try; -1: none is willing.
-func (b *Balancer) choose(p *pending) int {
-	if i := p.same; i >= 0 && b.servers[i].listed {
-		return i
-	}
-	b.willing = b.willing[:0]
-	for _, avoid := range []bool{true, false} { // with all avoided, none is
-		for i := range b.servers {
-			if !p.tried[i] && b.up(i, avoid) && b.allows(i, p) {
-				b.willing = append(b.willing, i)
-			}
-		}
-		if len(b.willing) > 0 || b.anyUp() {
-			break
-		}
-	}
-	if len(b.willing) == 0 {
-		return -1
-	}
-	return b.pick(p)
-}
-
-// up tells whether a server is listed and, where it avoids any, neither ejected nor failing its checks.
-func (b *Balancer) up(i int, avoid bool) bool {
-	s := &b.servers[i]
-	if !s.listed || !s.inSubset {
-		return false
-	}
-	return !avoid || s.bad < badChecks && s.ejected <= b.clock.Now()
-}
-
-func (b *Balancer) anyUp() bool {
-	for i := range b.servers {
-		if b.up(i, true) {
-			return true
-		}
-	}
-	return false
-}
-
-// allows tells whether a server has room for one more from here, as far as this balancer heeds that. A fraction of a
-// credit counts by chance.
-func (b *Balancer) allows(i int, p *pending) bool {
-	s, now := &b.servers[i], b.clock.Now()
-	if !b.habit.Heeds {
-		return true
-	}
-	if s.away > now {
-		return false
-	}
-	if s.valueAt == 0 || now-s.valueAt > b.habit.CreditLife {
-		return true
-	}
-	whole := math.Floor(s.value)
-	if float64(s.out) < whole {
-		return true
-	}
-	return float64(s.out) == whole && b.draw(p.ID, p.tries, drawAllow+i) < s.value-whole
-}
-
-// pick chooses among the willing.
-func (b *Balancer) pick(p *pending) int {
-	n := len(b.willing)
-	least := func(of func(s *server) float64) int {
-		start, best := int(b.draw(p.ID, p.tries, drawFirst)*float64(n)), -1
-		for k := range n {
-			if i := b.willing[(start+k)%n]; best < 0 || of(&b.servers[i]) < of(&b.servers[best]) {
-				best = i
-			}
-		}
-		return best
-	}
-	switch b.habit.Choose {
-	case Least:
-		return least(func(s *server) float64 { return float64(s.out) })
-	case Told:
-		return least(func(s *server) float64 { return s.load })
-	case Fastest:
-		return least(func(s *server) float64 { return s.latency })
-	case Two:
-		first := int(b.draw(p.ID, p.tries, drawFirst) * float64(n))
-		second := first
-		if n > 1 {
-			second = (first + 1 + int(b.draw(p.ID, p.tries, drawSecond)*float64(n-1))) % n
-		}
-		if i, j := b.willing[first], b.willing[second]; b.servers[j].out < b.servers[i].out {
-			return j
-		}
-		return b.willing[first]
-	case Weighted:
-		sum := 0.0
-		for _, i := range b.willing {
-			sum += b.servers[i].weight
-		}
-		at := b.draw(p.ID, p.tries, drawWeight) * sum
-		for _, i := range b.willing {
-			if at -= b.servers[i].weight; at < 0 {
-				return i
-			}
-		}
-		return b.willing[n-1]
-	case Hash:
-		best := b.willing[0]
-		for _, i := range b.willing[1:] {
-			if score(p.Key, i) > score(p.Key, best) {
-				best = i
-			}
-		}
-		return best
-	}
-	best := b.willing[0]
-	for _, i := range b.willing { // the first at or behind the hand
-		if i >= b.next {
-			best = i
-			break
-		}
-	}
-	b.next = (best + 1) % len(b.servers)
-	return best
-}
-
 // timedOut ends a try that took too long.
 func (b *Balancer) timedOut(t *Try) {
 	if t.over {
--- /dev/null
+++ b/internal/simulator/fleet/balancer.go
@@ -0,0 +1,130 @@
+package fleet
+
+import (
+	"strconv"
+
+	"shalesail/internal/simulator/balance"
+	"shalesail/internal/simulator/day"
+	"shalesail/internal/simulator/ledger"
+)
+
+// balancer puts one of package balance into the model.
+type balancer struct {
+	s     *Stage
+	no    int
+	hall  int
+	told  bool
+	b     *balance.Balancer
+	open  map[uint64]*day.Arrival
+	tries map[*balance.Try]*Job // what is out
+	late  uint64
+}
+
+func (s *Stage) newBalancer(i int) *balancer {
+	at := s.day.Balancers[i]
+	kind := s.day.Spec.Balancers[at.Kind]
+	if s.opt.Kinds != nil {
+		kind = s.opt.Kinds[at.Kind]
+	}
+	b := &balancer{s: s, no: i, hall: at.Hall, told: kind.Choose == string(balance.Told), open: map[uint64]*day.Arrival{},
+		tries: map[*balance.Try]*Job{}}
+	seed := s.day.Seed ^ s.opt.Noise
+	heeds := at.Heeds
+	if s.opt.Kinds != nil { // the draw is the day's, the share may be another
+		heeds = day.Unit(s.day.Seed, "heeds", uint64(i)) < kind.Heeds
+	}
+	draw := func(request uint64, no, what int) float64 {
+		return day.Unit(seed, "choice", request<<24^uint64(no)<<14^uint64(what))
+	}
+	b.b = balance.New(uint64(i)+1, len(s.runners), kind.Habit(heeds), s.clock, b, draw)
+	notice := s.day.Spec.Roster.NoticeS
+	s.roster.Watch(func() int64 {
+		b.late++
+		u := day.Unit(s.day.Seed, "notice"+strconv.Itoa(i), b.late)
+		return int64((notice.Lo + (notice.Hi-notice.Lo)*u) * 1e6)
+	}, func(name string, listed bool) {
+		for _, r := range s.runners {
+			if r.spec.Name == name {
+				b.b.Listed(r.no, listed)
+			}
+		}
+	})
+	return b
+}
+
+func (b *balancer) ask(a *day.Arrival) {
+	class := &b.s.day.Spec.Classes[a.Class]
+	b.open[a.ID] = a
+	b.b.Submit(&balance.Request{ID: a.ID, Key: a.ID, Safe: class.Effect == "safe", Keyed: class.Effect == "keyed",
+		Deadline: int64(class.DeadlineMs * 1000)})
+}
+
+// Send puts a try on the network.
+func (b *balancer) Send(t *balance.Try) {
+	s := b.s
+	s.book.Try()
+	r := s.runners[t.Server]
+	j := &Job{s: s, b: b, t: t, a: b.open[t.Request.ID], r: r}
+	b.tries[t] = j
+	d, arrives := s.delay(b.hall, r.spec.Hall)
+	if !arrives {
+		s.clock.After(connectTime, func() { j.back(balance.Answer{Kind: balance.Unreachable, Pressure: -1}) })
+		return
+	}
+	s.clock.After(d, j.arrive)
+}
+
+// Abort takes a try back. The runner hears of it late, or never.
+func (b *balancer) Abort(t *balance.Try) {
+	j := b.tries[t]
+	delete(b.tries, t)
+	if j == nil {
+		return
+	}
+	f, u := &b.s.day.Spec.Fleet, day.Unit(b.s.day.Seed^b.s.opt.Noise, "gone", t.Request.ID<<8^uint64(t.No))
+	if u < f.GoneLost {
+		return
+	}
+	late := f.TellsGoneMs.Lo + (f.TellsGoneMs.Hi-f.TellsGoneMs.Lo)*u
+	b.s.clock.After(int64(late*1000), j.gone)
+}
+
+// Check asks a runner how it is.
+func (b *balancer) Check(i int) {
+	r := b.s.runners[i]
+	done := false
+	tell := func(good bool) {
+		if !done {
+			done = true
+			b.b.Checked(i, good)
+		}
+	}
+	b.s.clock.After(checkTime, func() { tell(false) })
+	d, arrives := b.s.delay(b.hall, r.spec.Hall)
+	if !arrives {
+		return
+	}
+	b.s.clock.After(d, func() {
+		l := r.life
+		if l == nil || l.left || !l.proc.Ready() {
+			b.s.clock.After(d, func() { tell(false) })
+			return
+		}
+		l.machine.Read(func() { // a check is read like a request
+			l.proc.Check(b.no+1, func(good bool) { b.s.clock.After(d, func() { tell(good && !l.dead) }) })
+		})
+	})
+}
+
+var ends = map[balance.End]ledger.Cause{balance.EndServed: ledger.InAim, balance.EndRefused: ledger.Refused,
+	balance.EndFailed: ledger.Failed, balance.EndTimedOut: ledger.TimedOut, balance.EndUnsent: ledger.Unsent}
+
+// Finish ends a first try.
+func (b *balancer) Finish(r *balance.Request, e balance.End, by *balance.Try) {
+	a := b.open[r.ID]
+	delete(b.open, r.ID)
+	b.s.book.Ended(r.ID, ends[e], b.s.now()-a.At)
+	if e == balance.EndServed {
+		b.s.book.Useful(a.Work + b.s.readWork())
+	}
+}
