Submit, the start and the taking of a new configuration are cut where a step has a name

core.Submit (67 lines), app.New (87) and Program.take (79) are divided into steps; what they do is unchanged.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -185,7 +185,27 @@
 	if r.peers != nil {
 		kept, among = r.peers.Before(kept), r.peers
 	}
-	r.core, err = core.New(cfg.Settings, cfg.Seed, core.Host{
+	if r.core, err = core.New(cfg.Settings, cfg.Seed, r.host(kept, among, life)); err != nil {
+		return nil, err
+	}
+	r.startLinks()
+	r.core.Start()
+	if r.peers != nil {
+		r.peers.Run(r.core)
+	} else {
+		r.startClaims(life)
+	}
+	if r.keep != nil {
+		r.keep.Restore(r.restore, r.storeFailed)
+	}
+	l.Every(statusEvery, r.status)
+	return r, r.startListening()
+}
+
+// host is what the core needs of the program.
+func (r *Program) host(kept core.Keeper, among core.Claims, life uint64) core.Host {
+	l := r.loop
+	return core.Host{
 		Now: l.Now, Unix: l.Unix,
 		After:  func(d int64, fn func()) func() { return l.After(d, fn).Stop },
 		Gauges: r.link.Gauges,
@@ -201,44 +221,41 @@
 		Trails: r.trails(),
 		Claims: among,
 		Life:   life,
-	})
-	if err != nil {
-		return nil, err
 	}
-	r.pool.SetMost(shareDescriptors(cfg, op).backend)
+}
+
+// startLinks opens the platform's links: to the back end, the engine and the roster, as far as there are any.
+func (r *Program) startLinks() {
+	r.pool.SetMost(shareDescriptors(r.cfg, r.op).backend)
 	r.pool.Start(r.core)
-	if cfg.Engine.IsValid() {
+	if r.cfg.Engine.IsValid() {
 		r.link.Start(r.core)
 	}
-	if cfg.Roster.IsValid() {
-		if r.roster, err = roster.Start(l, cfg.Roster, cfg.Name); err != nil {
+	if r.cfg.Roster.IsValid() {
+		var err error
+		if r.roster, err = roster.Start(r.loop, r.cfg.Roster, r.cfg.Name); err != nil {
 			evRoster.Log(err)
 		}
 	}
-	r.core.Start()
-	if r.peers != nil {
-		r.peers.Run(r.core)
-	} else {
-		r.startClaims(life)
-	}
-	if r.keep != nil {
-		r.keep.Restore(r.restore, r.storeFailed)
-	}
-	l.Every(statusEvery, r.status)
+}
+
+// startListening opens what others come in by, the platform's front last: from then on the program serves.
+func (r *Program) startListening() error {
 	if r.second != nil {
 		if err := r.second.Listen(r.core); err != nil {
-			return nil, err
+			return err
 		}
 	}
 	if err := r.listenControl(); err != nil {
-		return nil, err
+		return err
 	}
-	if cfg.Ops.IsValid() {
-		if r.door, err = ops.Listen(l, cfg.Ops, r); err != nil {
-			return nil, address.New("ops: %w", err)
+	if r.cfg.Ops.IsValid() {
+		var err error
+		if r.door, err = ops.Listen(r.loop, r.cfg.Ops, r); err != nil {
+			return address.New("ops: %w", err)
 		}
 	}
-	return r, address.Wrap(r.listen())
+	return address.Wrap(r.listen())
 }
 
 func (r *Program) health(stored, good bool) {
--- a/internal/app/reload.go
+++ b/internal/app/reload.go
@@ -56,10 +56,9 @@
 	}()
 }
 
-// take moves to a new configuration. What is open goes on, with its keys and the numbers of notices; listeners stay
-// where they are.
-func (r *Program) take(cfg *config.Platform, op *config.Operator) error {
-	// What runs, the keys and what the module has learned go by class and tenant, and links once begun stay.
+// checkUnchanged tells what a new configuration may not change: what runs, the keys and what the module has learned go by class and tenant,
+// and links once begun stay.
+func (r *Program) checkUnchanged(cfg *config.Platform) error {
 	switch {
 	case cfg.Name != r.cfg.Name:
 		return changed.New("config: field name: %q, this is %s", cfg.Name, r.cfg.Name)
@@ -69,6 +68,15 @@
 	case !slices.Equal(cfg.Meters, r.cfg.Meters):
 		return changed.New("config: field settings: the gauges cannot change while the program runs")
 	}
+	return nil
+}
+
+// take moves to a new configuration. What is open goes on, with its keys and the numbers of notices; listeners stay
+// where they are.
+func (r *Program) take(cfg *config.Platform, op *config.Operator) error {
+	if err := r.checkUnchanged(cfg); err != nil {
+		return err
+	}
 	if err := cfg.Has(r.cfg); err != nil {
 		return err
 	}
@@ -99,41 +107,44 @@
 	r.link.Move(cfg.Engine)
 	r.pool.Move(cfg.Backend)
 	r.cfg = cfg
-	servers := 0
+	servers := r.takeOperator(op)
+	r.takeDescriptors()
+	evTaken.Log(cfg.Engine, cfg.Backend, cfg.Roster, servers)
+	return nil
+}
+
+// takeOperator moves to another operator's file, and gives how many servers it has. What needs a restart is told.
+func (r *Program) takeOperator(op *config.Operator) (servers int) {
 	if op == nil {
 		r.route(nil)
-	} else {
-		if op.ListenAddr != r.op.ListenAddr || op.HasFront() != r.op.HasFront() {
-			evLater.Log("listen")
-		}
-		r.route(op)
-		r.front.SetMaxResponse(op.Limits.Flow().Keep)
-		if op.Control != r.op.Control {
-			evLater.Log("control")
-		}
-		if op.Store != r.op.Store {
-			evLater.Log("store")
-		}
-		if op.Traces != r.op.Traces {
-			evLater.Log("traces")
-		}
-		if op.Usage != r.op.Usage {
-			evLater.Log("usage")
-		}
-		r.takePeers(&op.Peers)
-		if op.Record != r.op.Record {
-			evLater.Log("record")
-		}
-		if r.second != nil && op.HasFront() {
-			r.second.SetOptions(r.secondOptions(op))
-		}
-		if op.Log != r.op.Log && r.out != nil {
-			setLog(r.out, &op.Log)
+		return 0
+	}
+	was := r.op
+	for _, part := range []struct {
+		name    string
+		changed bool
+	}{
+		{"listen", op.ListenAddr != was.ListenAddr || op.HasFront() != was.HasFront()},
+		{"control", op.Control != was.Control},
+		{"store", op.Store != was.Store},
+		{"traces", op.Traces != was.Traces},
+		{"usage", op.Usage != was.Usage},
+		{"record", op.Record != was.Record},
+	} {
+		if part.changed {
+			evLater.Log(part.name)
 		}
-		r.watchList(op)
-		r.op, servers = op, len(op.Servers)
 	}
-	r.takeDescriptors()
-	evTaken.Log(cfg.Engine, cfg.Backend, cfg.Roster, servers)
-	return nil
+	r.route(op)
+	r.front.SetMaxResponse(op.Limits.Flow().Keep)
+	r.takePeers(&op.Peers)
+	if r.second != nil && op.HasFront() {
+		r.second.SetOptions(r.secondOptions(op))
+	}
+	if op.Log != was.Log && r.out != nil {
+		setLog(r.out, &op.Log)
+	}
+	r.watchList(op)
+	r.op = op
+	return len(op.Servers)
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -131,66 +131,99 @@
 		return c.misused(q, NameOpen)
 	}
 	c.lastID++
-	now := c.host.Now()
 	queued := max(c.host.Unix()-q.Arrived, 0)
 	r := &request{Request: q, id: c.lastID, trail: c.trail(q)}
 	class := &c.set.Classes[q.Class]
-	e := shalesail.Event{Kind: shalesail.EventRequest, Request: r.id, Class: q.Class, Tenant: q.Tenant,
-		Caller: c.callers.number(q.Caller), SizeKB: q.SizeKB, Rank: q.Rank, Key: q.Subject, Queued: span(queued),
-		Write: class.Effect != shalesail.Safe}
-	r.due = now - queued + class.Deadline.Microseconds()
-	if class.Effect == shalesail.Keyed {
+	arrival := c.arrivalOf(r, queued)
+	r.due = c.host.Now() - queued + class.Deadline.Microseconds()
+	keyed := class.Effect == shalesail.Keyed
+	if keyed {
 		if r.entry = c.keys.find(q); r.entry != nil {
-			// All tries of one request carry one body. What comes with another must not get a stranger's result.
-			if r.entry.body != bodyOf(q) {
-				return c.misused(q, KeyTaken)
-			}
-			if r.entry.restored && r.entry.ended {
-				c.recall(q, r.entry)
+			if c.answersAtOnce(r) {
 				return 0
 			}
-			e.Prior = r.entry.owner
-			if r.trail != nil {
-				r.trail.First = r.entry.first
-			}
-			c.counts[q.Class].Repeats++
+			arrival.Prior = r.entry.owner
 		}
 	}
-	c.requests[r.id], c.names[q.Name] = r, struct{}{}
+	c.takeIn(r, queued)
+	switch {
+	case r.entry != nil && r.entry.elsewhere != 0: // nothing runs here, so that the module need not hear of it
+		c.await(r)
+	case keyed && r.entry == nil && c.refusesNewKey(r):
+	default:
+		c.gate.report(arrival)
+		c.settle()
+	}
+	return Ticket(r.id)
+}
+
+// arrivalOf is what the module hears of a request.
+func (c *Core) arrivalOf(r *request, queued int64) shalesail.Event {
+	return shalesail.Event{Kind: shalesail.EventRequest, Request: r.id, Class: r.Class, Tenant: r.Tenant,
+		Caller: c.callers.number(r.Caller), SizeKB: r.SizeKB, Rank: r.Rank, Key: r.Subject, Queued: span(queued),
+		Write: c.set.Classes[r.Class].Effect != shalesail.Safe}
+}
+
+// answersAtOnce answers a request that repeats another, where nothing has to be waited for: it carries another body, or the other ran in an
+// earlier life. Else it counts as a repeat.
+func (c *Core) answersAtOnce(r *request) bool {
+	// All tries of one request carry one body. What comes with another must not get a stranger's result.
+	if r.entry.body != bodyOf(r.Request) {
+		c.misused(r.Request, KeyTaken)
+		return true
+	}
+	if r.entry.restored && r.entry.ended {
+		c.recall(r.Request, r.entry)
+		return true
+	}
+	if r.trail != nil {
+		r.trail.First = r.entry.first
+	}
+	c.counts[r.Class].Repeats++
+	return false
+}
+
+// takeIn has a request in the table, where it is owed an answer.
+func (c *Core) takeIn(r *request, queued int64) {
+	c.requests[r.id], c.names[r.Name] = r, struct{}{}
 	c.open++
-	c.counts[q.Class].Read++
+	c.counts[r.Class].Read++
 	if c.host.Seen != nil {
-		c.host.Seen(q)
+		c.host.Seen(r.Request)
 	}
-	if q.Due > 0 {
+	if r.Due > 0 {
 		// The module takes the time that is left for a sign of the try's age, and shorter ones for further tries. It
 		// goes by the class's deadline, and the shorter one is kept here.
-		r.due = min(r.due, now-queued+q.Due)
+		now := c.host.Now()
+		r.due = min(r.due, now-queued+r.Due)
 		r.stop = c.host.After(r.due-now, func() { c.expire(r) })
 	}
-	if r.entry != nil && r.entry.elsewhere != 0 { // nothing runs here, so that the module need not hear of it
-		c.await(r)
-		return Ticket(r.id)
-	}
-	if class.Effect == shalesail.Keyed && r.entry == nil && c.keys.full() {
-		c.unkept(class.Name, "the table of keys is full")
+}
+
+// refusesNewKey turns a request away whose key cannot be kept.
+func (c *Core) refusesNewKey(r *request) bool {
+	if c.keys.full() {
 		r.trail.because(CauseKeyTable, float64(len(c.keys.byName)), float64(c.keys.most.Keys))
-		c.answer(r, Answer{Kind: Refused, ComeBack: fullFor})
-		c.drop(r)
-		return Ticket(r.id)
+		c.turnAway(r, "the table of keys is full", fullFor)
+		return true
 	}
-	if class.Effect == shalesail.Keyed && r.entry == nil && c.host.Keeper != nil {
-		if back, why := c.host.Keeper.Closed(); back > 0 {
-			c.unkept(class.Name, why)
-			r.trail.because(c.shutBy(), 0, 0)
-			c.answer(r, Answer{Kind: Refused, ComeBack: back})
-			c.drop(r)
-			return Ticket(r.id)
-		}
+	if c.host.Keeper == nil {
+		return false
 	}
-	c.gate.report(e)
-	c.settle()
-	return Ticket(r.id)
+	back, why := c.host.Keeper.Closed()
+	if back <= 0 {
+		return false
+	}
+	r.trail.because(c.shutBy(), 0, 0)
+	c.turnAway(r, why, back)
+	return true
+}
+
+// turnAway refuses a request of which the module has not heard, and says when to come back.
+func (c *Core) turnAway(r *request, why string, back int64) {
+	c.unkept(c.set.Classes[r.Class].Name, why)
+	c.answer(r, Answer{Kind: Refused, ComeBack: back})
+	c.drop(r)
 }
 
 // unkept tells that a request is refused since its key cannot be kept: once a second, for such troubles come to many.
