--- a/internal/app/drain_test.go
+++ b/internal/app/drain_test.go
@@ -1,7 +1,10 @@
 package app
 
 import (
+	"fmt"
+	"io"
 	"net/netip"
+	"strconv"
 	"testing"
 	"time"
 
@@ -10,35 +13,92 @@
 	"shalesail/internal/scenario"
 )
 
-// A HUP that allows a longer stop does not lengthen a drain that has begun: the process is killed at the time of the notice.
-func TestStopChangesDuringADrain(t *testing.T) {
-	s := scenario.NewStepped(t)
+// alone is the program on a loop that the test steps, with its platform's front and nothing else, changed before it starts.
+func alone(t *testing.T, s *scenario.Stepped, change func(*config.Platform)) *Program {
+	t.Helper()
 	cfg, err := config.ReadPlatform("../../example/config.json")
 	if err != nil {
 		t.Fatal(err)
 	}
 	cfg.Engine, cfg.Backend, cfg.Roster, cfg.Ops = netip.AddrPort{}, netip.AddrPort{}, netip.AddrPort{}, netip.AddrPort{}
 	cfg.Listen = netip.MustParseAddrPort("127.0.0.1:0")
-	cfg.Stop = time.Second.Microseconds()
+	change(cfg)
 	t.Setenv("TMPDIR", "")
 	r, err := New(s.Loop, cfg, nil, false)
 	if err != nil {
 		t.Fatal(err)
 	}
-	half := fastcgi.AppendBegin(nil, 1, fastcgi.Begin{Role: fastcgi.Responder, Keep: true})
-	s.DialAddr(r.front.Addr().String(), string(half)) // its rest may come for 2 s
+	return r
+}
+
+// half is a request of which the rest does not come.
+func half(id uint16) string {
+	return string(fastcgi.AppendBegin(nil, id, fastcgi.Begin{Role: fastcgi.Responder, Keep: true}))
+}
+
+// whole is a request that runs until its deadline, as there is no engine.
+func whole(s *scenario.Stepped, id uint16) string {
+	params := []byte{}
+	for _, p := range [][2]string{{"REQUEST_METHOD", "POST"}, {"SCRIPT_NAME", "/ops/quick-check"}, {"HTTP_X_CALL_ID", fmt.Sprintf("%016x", id)},
+		{"HTTP_X_SOURCE", "1"}, {"HTTP_X_CUSTOMER", "north"}, {"HTTP_X_HEAP_KB", "20"}, {"HTTP_X_IMPORTANCE", "0.5"},
+		{"HTTP_X_QUEUE_START", strconv.FormatInt(s.Unix()/1000, 10)}} {
+		params = fastcgi.AppendPair(params, p[0], p[1])
+	}
+	b := fastcgi.Append([]byte(half(id)), fastcgi.Params, id, params)
+	b = fastcgi.Append(b, fastcgi.Params, id, nil)
+	return string(fastcgi.Append(b, fastcgi.Stdin, id, nil))
+}
+
+// passUntil lets time pass until the loop has stopped, or for so long.
+func passUntil(s *scenario.Stepped, most time.Duration) {
+	for end := s.Now() + most.Microseconds(); !s.IsStopped() && s.Now() < end; {
+		s.Pass(drainLook * time.Microsecond)
+	}
+}
+
+// A replaced process ends at its time while a request comes in parts on one of its connections: its own side is shut in order before the exit, so
+// that what comes then does not take along what was answered there.
+func TestConnectionsAreShutAsAReplacedProcessEnds(t *testing.T) {
+	s := scenario.NewStepped(t)
+	r := alone(t, s, func(cfg *config.Platform) {
+		for i := range cfg.Settings.Classes {
+			cfg.Settings.Classes[i].Deadline = time.Minute
+		}
+	})
+	balancer := s.DialAddr(r.front.Addr().String(), whole(s, 1))
+	s.Until(func() bool { return r.core.Open() == 1 })
+	r.retire()
+	most := time.Duration(stay(r.cfg)) * time.Microsecond
+	passUntil(s, most-time.Second)
+	s.Send(balancer, half(2)) // as the first is answered, the next has begun
+	passUntil(s, most)
+	if !s.IsStopped() || r.front.Conns() != 1 {
+		t.Fatalf("stopped %v, with %d connections", s.IsStopped(), r.front.Conns())
+	}
+	if err := balancer.SetReadDeadline(time.Now().Add(time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadAll(balancer); err != nil {
+		t.Errorf("as the process ends its side is open still: %v", err)
+	}
+}
+
+// A HUP that allows a longer stop does not lengthen a drain that has begun: the process is killed at the time of the notice.
+func TestStopChangesDuringADrain(t *testing.T) {
+	s := scenario.NewStepped(t)
+	const stop = time.Second
+	r := alone(t, s, func(cfg *config.Platform) { cfg.Stop = stop.Microseconds() })
+	s.DialAddr(r.front.Addr().String(), half(1)) // its rest may come for 2 s
 	s.Until(func() bool { return r.front.Conns() == 1 })
 	r.drain()
-	longer := *cfg
+	longer := *r.cfg
 	longer.Stop = time.Minute.Microseconds()
 	if err := r.take(&longer, nil); err != nil {
 		t.Fatal(err)
 	}
 	began := r.loop.Now()
-	for !s.IsStopped() && r.loop.Now()-began < 2*cfg.Stop {
-		s.Pass(drainLook * time.Microsecond)
-	}
-	if took := r.loop.Now() - began; took >= cfg.Stop {
-		t.Errorf("it ends %d us after the notice, and is killed after %d", took, cfg.Stop)
+	passUntil(s, 2*stop)
+	if took := time.Duration(r.loop.Now()-began) * time.Microsecond; took >= stop {
+		t.Errorf("it ends %v after the notice, and is killed after %v", took, stop)
 	}
 }
