A process under the name of a lost one is taken in by its own lives alone

Cause: placement.Apply refused an Enter whose life is below max(Life, Gone) of the member, but Gone of a member that is in may be of the process before, whose numbers are random: a process that renewed its life as it read that the one before was out stayed out for good in half of such cases. A new kind of change, Rejoin, compares lives of one process alone; voters that do not know it go on with Enter, as all have to come to the same table. TestLivesOfTwoProcesses fails in two rows without it.

--- a/internal/peers/consensus/leader.go
+++ b/internal/peers/consensus/leader.go
@@ -72,7 +72,7 @@
 
 // grants are those of duties that nobody holds.
 func (c *Participant) grants() []placement.Change {
-	if len(c.cfg.Duties.List) == 0 || !c.table.May(placement.Newest, c.cfg.Voters) {
+	if len(c.cfg.Duties.List) == 0 || !c.table.May(placement.Enter, c.cfg.Voters) {
 		return nil
 	}
 	return c.duties.Grants(c.table, c.now, func(name string) int64 {
--- a/internal/peers/consensus/members.go
+++ b/internal/peers/consensus/members.go
@@ -48,11 +48,7 @@
 	if in := c.table.Member(m.From); known && (in == nil || !in.Same(&m.Member)) {
 		// One that is out comes back in another life: by then it knows that it was lost.
 		if m.Member.Name == m.From && m.Member.Life != 0 && (in == nil || in.Life != 0 || m.Version >= c.table.Version) {
-			x := placement.Change{Kind: placement.Enter, Member: m.Member}
-			if !c.table.May(x.Kind, c.cfg.Voters) {
-				x.Kind = placement.In
-			}
-			c.propose([]placement.Change{x})
+			c.propose([]placement.Change{{Kind: c.entry(), Member: m.Member}})
 		}
 	}
 	if m.From == c.cfg.Name {
@@ -66,6 +62,16 @@
 	c.send(answer)
 }
 
+// entry is the newest kind of change that takes a member in which all voters know.
+func (c *Participant) entry() placement.Kind {
+	for _, kind := range []placement.Kind{placement.Rejoin, placement.Enter} {
+		if c.table.May(kind, c.cfg.Voters) {
+			return kind
+		}
+	}
+	return placement.In
+}
+
 // known tells whether a word is of the process that is in the table, or of one that takes its place: a single word of the process before may come
 // late, all the more so where this one was stopped and reads what waited for it. One that is there says so again before the other one does.
 func (c *Participant) known(m *Message) bool {
--- a/internal/peers/placement/placement.go
+++ b/internal/peers/placement/placement.go
@@ -28,6 +28,20 @@
 	return m.Life == o.Life && m.Knows == o.Knows && m.Bills == o.Bills && slices.Equal(m.Duties, o.Duties)
 }
 
+// oldest is the oldest life in which a process may be taken in by a change. What is gone of a member that is in may be of the process before, whose
+// lives are other numbers; older versions do not tell, and all have to come to the same table.
+func (m *Member) oldest(kind Kind) uint64 {
+	switch {
+	case kind == In:
+		return 0
+	case kind == Enter:
+		return max(m.Life, m.Gone)
+	case m.Life != 0:
+		return m.Life
+	}
+	return m.Gone
+}
+
 // Slot is a part of the keys, and who holds it.
 type Slot struct {
 	Epoch   uint64   `cbor:"1,keyasint"`
@@ -64,10 +78,11 @@
 	Yield                   // its holder gives it back, with what the next one is to know
 	Note                    // its holder leaves what the next one is to know
 	Enter                   // as In; what a process said before it took another life does not take it back there
+	Rejoin                  // as Enter, but lives of the process before do not count
 )
 
 // Newest is the newest kind of change.
-const Newest = Enter
+const Newest = Rejoin
 
 const (
 	oldest = Lead // the newest that a member knows which does not say so
@@ -142,8 +157,8 @@
 	t.Version++
 	m := t.Member(c.Member.Name)
 	switch c.Kind {
-	case In, Enter:
-		if c.Kind == Enter && m != nil && c.Member.Process != 0 && c.Member.Process == m.Process && c.Member.Life < max(m.Life, m.Gone) {
+	case In, Enter, Rejoin:
+		if m != nil && c.Member.Process != 0 && c.Member.Process == m.Process && c.Member.Life < m.oldest(c.Kind) {
 			return
 		}
 		if m == nil {
