A link to a peer that does not stand in time is opened anew

Found reading internal/peers/link line by line: a connection to a machine that does not answer was kept for as long as the system tries (up to two minutes, with pauses of 16 and 32 s), and messages waited on it though the machine was back. It is given up after 2 s. Nothing else was found there.

--- a/internal/peers/link/link.go
+++ b/internal/peers/link/link.go
@@ -34,6 +34,7 @@
 	mostQueue = 4 << 20 // bytes that wait for one peer
 	again     = 200_000 // microseconds before a peer that cannot be reached is dialled again
 	helloIn   = 2_000_000
+	connectIn = 2_000_000  // for a connection to stand
 	relayFor  = 300_000    // microseconds for which a relay is kept to: words keep their order, and one that hangs is not kept to for long
 	mostExtra = 8          // links beside those of the grid, to whom no relay leads
 	idleFor   = 10_000_000 // after which such a link ends
@@ -43,6 +44,7 @@
 var (
 	errNotInFile error = broken.New("link: it is not in the file any more")
 	errIdle      error = broken.New("link: nobody uses it")
+	errConnects  error = broken.New("link: it does not stand in time")
 )
 
 var table = crc32.MakeTable(crc32.Castagnoli)
@@ -56,13 +58,13 @@
 
 // Frame is one message; one of its parts is there.
 type Frame struct {
-	Hello   *Hello               `cbor:"1,keyasint,omitempty"`
-	Copies  *replication.Message `cbor:"2,keyasint,omitempty"`
-	Council *consensus.Message   `cbor:"3,keyasint,omitempty"`
-	Account *accounts.Message    `cbor:"4,keyasint,omitempty"`
-	Tale    *lease.HealthReport  `cbor:"7,keyasint,omitempty"`
-	To      string               `cbor:"5,keyasint,omitempty"` // of one that a relay is to pass on: whose it is,
-	From    string               `cbor:"6,keyasint,omitempty"` // and who says it
+	Hello       *Hello               `cbor:"1,keyasint,omitempty"`
+	Replication *replication.Message `cbor:"2,keyasint,omitempty"`
+	Consensus   *consensus.Message   `cbor:"3,keyasint,omitempty"`
+	Account     *accounts.Message    `cbor:"4,keyasint,omitempty"`
+	Health      *lease.HealthReport  `cbor:"7,keyasint,omitempty"`
+	To          string               `cbor:"5,keyasint,omitempty"` // of one that a relay is to pass on: whose it is,
+	From        string               `cbor:"6,keyasint,omitempty"` // and who says it
 }
 
 // Append appends a frame.
@@ -309,7 +311,7 @@
 	l := p.net.loop
 	if p.conn == nil && l.Now() >= p.next {
 		p.next = l.Now() + again
-		p.conn = l.Dial(p.peer.Addr, loop.Limits{In: 64, Out: mostQueue + head + maxFrame}, p)
+		p.dial()
 		p.write(&Frame{Hello: &Hello{Installation: p.net.cfg.Installation, Name: p.net.cfg.Name, Format: format}})
 	}
 	if p.conn == nil || p.conn.Queued() > mostQueue {
@@ -320,6 +322,18 @@
 	p.write(f)
 }
 
+// dial opens the connection. One that does not stand in time is given up, and the next message opens another: a machine that is back may hear the
+// system's next try much later.
+func (p *out) dial() {
+	conn := p.net.loop.Dial(p.peer.Addr, loop.Limits{In: 64, Out: mostQueue + head + maxFrame}, p)
+	p.conn = conn
+	p.net.loop.After(connectIn, func() {
+		if p.conn == conn && !p.up {
+			conn.Close(errConnects)
+		}
+	})
+}
+
 func (p *out) write(f *Frame) {
 	b, err := Append(nil, f)
 	if err != nil {
--- a/internal/peers/link/link_test.go
+++ b/internal/peers/link/link_test.go
@@ -17,7 +17,7 @@
 var any4 = netip.MustParseAddrPort("127.0.0.1:0")
 
 func frame() *Frame {
-	return &Frame{Copies: &replication.Message{Kind: replication.Keep, From: "n2", To: "n1", Slot: 3, Epoch: 7, Entries: []replication.Entry{{Seq: 9, Left: 5,
+	return &Frame{Replication: &replication.Message{Kind: replication.Keep, From: "n2", To: "n1", Slot: 3, Epoch: 7, Entries: []replication.Entry{{Seq: 9, Left: 5,
 		Record: &store.Record{Kind: store.Ended, Name: store.Name{Class: "hand-in", Key: "a"}, Result: &store.Result{Status: 200, Body: []byte("fine")}}}}}}
 }
 
@@ -70,11 +70,11 @@
 	l.After(20_000_000, l.Stop)
 	var heard []uint64
 	one, err := Open(l, Config{Installation: "x", Name: "n1", Listen: any4, Peers: []Peer{{Name: "n2", Addr: any4}}}, func(from string, f *Frame) {
-		if from != "n2" || f.Council == nil {
+		if from != "n2" || f.Consensus == nil {
 			t.Errorf("%s says %+v", from, f)
 			return
 		}
-		if heard = append(heard, f.Council.Version); len(heard) == 3 {
+		if heard = append(heard, f.Consensus.Version); len(heard) == 3 {
 			l.After(2*helloIn, l.Stop)
 		}
 	})
@@ -88,8 +88,8 @@
 		}
 		return n
 	}
-	open("y", "n2").Send("n1", &Frame{Council: &consensus.Message{Version: 99}})
-	open("x", "n9").Send("n1", &Frame{Council: &consensus.Message{Version: 98}})
+	open("y", "n2").Send("n1", &Frame{Consensus: &consensus.Message{Version: 99}})
+	open("x", "n9").Send("n1", &Frame{Consensus: &consensus.Message{Version: 98}})
 	closed := make(chan int, 2)
 	for _, text := range []string{"", "no frame at all, but long enough for a head"} {
 		c, err := net.Dial("tcp", one.Addr().String())
@@ -106,9 +106,9 @@
 	}
 	two := open("x", "n2")
 	for v := range uint64(3) {
-		two.Send("n1", &Frame{Council: &consensus.Message{Version: v}})
+		two.Send("n1", &Frame{Consensus: &consensus.Message{Version: v}})
 	}
-	two.Send("n7", &Frame{Council: &consensus.Message{}}) // nobody
+	two.Send("n7", &Frame{Consensus: &consensus.Message{}}) // nobody
 	if err := l.Run(); err != nil {
 		t.Fatal(err)
 	}
@@ -135,7 +135,7 @@
 	nets := map[string]*Net{}
 	heard := map[uint64]string{}
 	for _, name := range names {
-		nets[name], err = Open(l, Config{Installation: "x", Name: name, Listen: any4, Mesh: 1}, func(from string, f *Frame) { heard[f.Council.Version] = name + " from " + from })
+		nets[name], err = Open(l, Config{Installation: "x", Name: name, Listen: any4, Mesh: 1}, func(from string, f *Frame) { heard[f.Consensus.Version] = name + " from " + from })
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -150,9 +150,9 @@
 		nets[name].SetPeers(peers)
 	}
 	one := nets["n1"]
-	say := func(v uint64) { one.Send("n4", &Frame{Council: &consensus.Message{Version: v}}) }
+	say := func(v uint64) { one.Send("n4", &Frame{Consensus: &consensus.Message{Version: v}}) }
 	say(1)
-	nets["n2"].Send("n4", &Frame{Council: &consensus.Message{Version: 9}, To: "n4", From: "n7"})
+	nets["n2"].Send("n4", &Frame{Consensus: &consensus.Message{Version: 9}, To: "n4", From: "n7"})
 	var passed []int64
 	step := func(d int64, fn func()) {
 		l.After(d, func() { passed = append(passed, nets["n2"].Passed, nets["n3"].Passed); fn() })
--- a/internal/peers/node/leases.go
+++ b/internal/peers/node/leases.go
@@ -105,7 +105,7 @@
 			if m.Life != 0 && m.Name != tale.From {
 				t := tale
 				t.To = m.Name
-				d.p.net.Send(m.Name, &link.Frame{Tale: &t})
+				d.p.net.Send(m.Name, &link.Frame{Health: &t})
 			}
 		}
 	}
--- a/internal/peers/node/node.go
+++ b/internal/peers/node/node.go
@@ -131,12 +131,12 @@
 
 func (p *Node) heard(from string, f *link.Frame) {
 	switch {
-	case f.Copies != nil && f.Copies.From == from:
-		p.holder.Receive(f.Copies, p.loop.Now())
-	case f.Council != nil && f.Council.From == from:
-		p.consensus.Receive(f.Council, p.loop.Now())
-	case f.Tale != nil && f.Tale.From == from:
-		p.duties.hear(f.Tale)
+	case f.Replication != nil && f.Replication.From == from:
+		p.holder.Receive(f.Replication, p.loop.Now())
+	case f.Consensus != nil && f.Consensus.From == from:
+		p.consensus.Receive(f.Consensus, p.loop.Now())
+	case f.Health != nil && f.Health.From == from:
+		p.duties.hear(f.Health)
 		return
 	case f.Account != nil && f.Account.From == from:
 		if p.cfg.Accounts != nil {
@@ -192,7 +192,7 @@
 			p.tell(t)
 		}
 		for _, m := range p.holder.Out() {
-			p.net.Send(m.To, &link.Frame{Copies: &m})
+			p.net.Send(m.To, &link.Frame{Replication: &m})
 			more = true
 		}
 		if p.duties.look(); !more && p.duties.holder.Fresh() {
@@ -204,7 +204,7 @@
 // release sends what the consensus group says, and has its table hold.
 func (p *Node) release(h held) {
 	for i := range h.out {
-		p.net.Send(h.out[i].To, &link.Frame{Council: &h.out[i]})
+		p.net.Send(h.out[i].To, &link.Frame{Consensus: &h.out[i]})
 	}
 	p.table = h.table
 }
