--- a/internal/peers/placement/placement.go
+++ b/internal/peers/placement/placement.go
@@ -158,52 +158,20 @@
 	m := t.Member(c.Member.Name)
 	switch c.Kind {
 	case In, Enter, Rejoin:
-		if m != nil && c.Member.Process != 0 && c.Member.Process == m.Process && c.Member.Life < m.oldest(c.Kind) {
+		if !t.enter(c, m) {
 			return
 		}
-		if m == nil {
-			i, _ := slices.BinarySearchFunc(t.Members, c.Member.Name, func(m Member, name string) int { return cmp.Compare(m.Name, name) })
-			t.Members = slices.Insert(t.Members, i, Member{Name: c.Member.Name})
-			m = &t.Members[i]
-		}
-		if m.Life == c.Member.Life && m.Life != 0 { // said again, as whoever agreed to it before may have known less of members
-			m.Knows, m.Bills, m.Duties = c.Member.Knows, c.Member.Bills, c.Member.Duties
-		}
-		if m.Life == c.Member.Life || c.Member.Life == 0 || c.Member.Life == m.Gone {
-			return
-		}
-		t.lapse(m.Name, m.Life != 0)
-		t.leave(m.Name) // what an earlier life held is forgotten
-		gone := m.Gone
-		if m.Life != 0 {
-			gone = m.Life
-		}
-		leaving := m.Leaving
-		*m = c.Member
-		m.Gone, m.Leaving = gone, leaving
 	case Out, Removed:
 		if m == nil || c.Kind == Out && m.Life != c.Member.Life {
 			return
 		}
-		t.lapse(m.Name, false)
-		t.leave(m.Name)
-		if m.Life != 0 {
-			m.Gone = m.Life
-		}
-		if m.Life = 0; c.Kind == Removed {
-			t.Members = slices.DeleteFunc(t.Members, func(m Member) bool { return m.Name == c.Member.Name })
-		}
+		t.exit(m, c.Kind == Removed)
 	case Whole:
 		s := t.slot(c)
 		if s == nil || m == nil || m.Life != c.Member.Life || !slices.Contains(s.Joining, m.Name) {
 			return
 		}
-		s.Joining = remove(s.Joining, m.Name)
-		s.Set = append(s.Set, m.Name)
-		s.Epoch++
-		if len(s.Set) > 1+t.Copies { // it came for a better spread
-			s.Set = remove(s.Set, t.heaviest(s, t.load()))
-		}
+		t.complete(s, m.Name)
 	case Add:
 		if s := t.slot(c); s != nil && m != nil && m.Life != 0 && !m.Leaving && !s.Holds(m.Name) && len(s.Set) == 1+t.Copies && len(s.Joining) == 0 {
 			s.Joining = append(s.Joining, m.Name)
@@ -227,6 +195,57 @@
 	t.fill()
 }
 
+// enter takes a member in, in a life that is new; false: it is not, and the slots stay as they are. What an earlier life held is forgotten.
+func (t *Table) enter(c Change, m *Member) bool {
+	if m != nil && c.Member.Process != 0 && c.Member.Process == m.Process && c.Member.Life < m.oldest(c.Kind) {
+		return false
+	}
+	if m == nil {
+		i, _ := slices.BinarySearchFunc(t.Members, c.Member.Name, func(m Member, name string) int { return cmp.Compare(m.Name, name) })
+		t.Members = slices.Insert(t.Members, i, Member{Name: c.Member.Name})
+		m = &t.Members[i]
+	}
+	if m.Life == c.Member.Life && m.Life != 0 { // said again, as whoever agreed to it before may have known less of members
+		m.Knows, m.Bills, m.Duties = c.Member.Knows, c.Member.Bills, c.Member.Duties
+	}
+	if m.Life == c.Member.Life || c.Member.Life == 0 || c.Member.Life == m.Gone {
+		return false
+	}
+	t.lapse(m.Name, m.Life != 0)
+	t.leave(m.Name)
+	gone, leaving := m.Gone, m.Leaving
+	if m.Life != 0 {
+		gone = m.Life
+	}
+	*m = c.Member
+	m.Gone, m.Leaving = gone, leaving
+	return true
+}
+
+// exit takes a member out that is lost, or that does not belong any more.
+func (t *Table) exit(m *Member, removed bool) {
+	name := m.Name
+	t.lapse(name, false)
+	t.leave(name)
+	if m.Life != 0 {
+		m.Gone = m.Life
+	}
+	m.Life = 0
+	if removed {
+		t.Members = slices.DeleteFunc(t.Members, func(m Member) bool { return m.Name == name })
+	}
+}
+
+// complete has a member that joined a slot hold it. Where it came for a better spread, another one goes.
+func (t *Table) complete(s *Slot, name string) {
+	s.Joining = remove(s.Joining, name)
+	s.Set = append(s.Set, name)
+	s.Epoch++
+	if len(s.Set) > 1+t.Copies {
+		s.Set = remove(s.Set, t.heaviest(s, t.load()))
+	}
+}
+
 // May tells whether all of these members know a kind of change: who does not would come to another table.
 func (t *Table) May(k Kind, names []string) bool {
 	for _, name := range names {
