--- a/internal/app/beside.go
+++ b/internal/app/beside.go
@@ -179,9 +179,7 @@
 	look = func() {
 		past := r.loop.Now() - began
 		if r.conns() == 0 && r.core.Idle() && !r.front.Listens() || past > most-drainSpare {
-			r.front.Finish()
-			evDrained.Log(past/1000, r.core.Open(), r.core.Stats())
-			r.loop.Stop()
+			r.finish(past)
 			return
 		}
 		r.loop.After(drainLook, look)
--- a/internal/app/drain.go
+++ b/internal/app/drain.go
@@ -38,12 +38,17 @@
 	look = func() {
 		past := r.loop.Now() - began
 		if r.conns() == 0 && past > grace && !r.front.Listens() || past > stop-drainSpare {
-			r.front.Finish()
-			evDrained.Log(past/1000, r.core.Open(), r.core.Stats())
-			r.loop.Stop()
+			r.finish(past)
 			return
 		}
 		r.loop.After(drainLook, look)
 	}
 	look()
 }
+
+// finish ends the program, so long after the notice: connections that are open are shut in order, and what was not answered is told.
+func (r *Program) finish(past int64) {
+	r.front.Finish()
+	evDrained.Log(past/1000, r.core.Open(), r.core.Stats())
+	r.loop.Stop()
+}
