Review stand-ins: a script that is ended from outside ends what it started

A script that ran to its end left nothing, but after TERM or KILL the runners went on. The case now handles the signals, and the system kills its processes if it is killed itself.

--- a/review/standin/case.go
+++ b/review/standin/case.go
@@ -3,13 +3,21 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"runtime"
 	"sync"
+	"syscall"
 	"time"
 )
 
+// The death signal of a process that a case starts belongs to the thread that started it: the main
+// thread, which lives as long as the case.
+func init() { runtime.LockOSThread() }
+
 // Main runs a case in its folder (the first argument) and exits with its status. The environment
-// variable TROUBLE=0 leaves the disruption out. A case that takes over 110 s is ended.
+// variable TROUBLE=0 leaves the disruption out. A case that takes over 110 s is ended, as is one that is
+// told to end by a signal; all that it started ends with it.
 func Main(run func(s *Site, trouble bool) (status int, err error)) {
 	if len(os.Args) != 3 {
 		fmt.Fprintln(os.Stderr, "usage: PROGRAM REPOSITORY FOLDER")
@@ -41,6 +49,9 @@
 		select {}
 	}
 	time.AfterFunc(110*time.Second, func() { exit(NotRun, fmt.Errorf("the case took over 110 s")) })
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() { exit(NotRun, fmt.Errorf("ended by a signal: %v", <-signals)) }()
 	status, err := run(site, os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		status = NotRun
--- a/review/standin/process.go
+++ b/review/standin/process.go
@@ -23,6 +23,7 @@
 	Record *Record
 	mu     sync.Mutex
 	procs  []*Process
+	closed bool // no process may be started any more
 }
 
 // NewSite creates the temporary folder.
@@ -38,6 +39,7 @@
 func (s *Site) Close() {
 	s.mu.Lock()
 	procs := s.procs
+	s.closed = true
 	s.mu.Unlock()
 	for _, p := range procs {
 		p.Kill()
@@ -180,12 +182,11 @@
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	p.cmd.Env = append(os.Environ(), "ROUTER_NAME="+c.Name, "ROUTER_LISTEN="+c.Listen, "ROUTER_CONFIG="+path,
 		"ROUTER_OPS="+c.Ops, "TMPDIR="+tmpdir)
-	if err := p.cmd.Start(); err != nil {
+	// If the case itself is killed, the system kills what it started. Main keeps its thread for this.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := s.start(p); err != nil {
 		return nil, err
 	}
-	s.mu.Lock()
-	s.procs = append(s.procs, p)
-	s.mu.Unlock()
 	s.Record.Line("platform: process %s started, pid %d, engine %s", label, p.cmd.Process.Pid, c.Engine)
 	go func() {
 		err := p.cmd.Wait()
@@ -196,6 +197,20 @@
 	return p, nil
 }
 
+// start starts a process that Close will end.
+func (s *Site) start(p *Process) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return errors.New("the case ends")
+	}
+	if err := p.cmd.Start(); err != nil {
+		return err
+	}
+	s.procs = append(s.procs, p)
+	return nil
+}
+
 // Signal sends a signal to the process.
 func (p *Process) Signal(sig syscall.Signal) {
 	p.record.Line("platform: %v to process %s", sig, p.Name)
