uwsgi_test.go: one entry written one value a line, so that gofmt agrees everywhere

gofmt's column rule is decided in floating point; its last digit differs between x86-64 and arm64, so the check named this file on arm64 alone. Layout only: no value and no check changes. Measured: gofmt -l . prints nothing on arm64 after the change.

--- a/internal/protocol/uwsgi/uwsgi_test.go
+++ b/internal/protocol/uwsgi/uwsgi_test.go
@@ -73,7 +73,13 @@
 		"",
 	},
 	"a body that ends with the stream, before its end": {"HTTP/1.0 200 OK\r\n\r\nbody", false, false, nil, ""},
-	"a part of the head": {"HTTP/1.1 200 OK\r\nConte", true, false, nil, ""},
+	"a part of the head": {
+		"HTTP/1.1 200 OK\r\nConte",
+		true,
+		false,
+		nil,
+		"",
+	},
 	"an interim response first": {
 		"HTTP/1.1 100 Go\r\n\r\nHTTP/1.1 204 No\r\n\r\n",
 		false,
