--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/second"
 mkdir -p bin
-GOFLAGS=-mod=mod GOPROXY=off GOWORK=off go build -o bin/second .
+GOFLAGS=-mod=mod GOPROXY=off GOWORK=off go build -buildvcs=false -o bin/second .
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -7,6 +7,8 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -29,8 +31,12 @@
 	defer c.close()
 	done := make(chan error, 1)
 	go func() { done <- cases[os.Args[1]](c) }()
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	select {
 	case err = <-done:
+	case s := <-ended:
+		err = fmt.Errorf("ended from outside by %v", s)
 	case <-time.After(limit):
 		err = errors.New("the case takes too long")
 	}
